--- a/tests/helpers.py
+++ b/tests/helpers.py
@@ -4,8 +4,8 @@
 
 from typing import Any
 
-from orchidloom import Gateway
-from orchidloom import interface as i
+from thymeflow import Gateway
+from thymeflow import interface as i
 
 SAFE = i.RequestClass("read", aim=1.0, deadline=4.0, effect=i.Effect.SAFE)
 KEYED = i.RequestClass("book", aim=1.0, deadline=4.0, effect=i.Effect.KEYED, scope=i.Scope.ZONE, window=0.4)
--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -11,7 +11,7 @@
 
 import pytest
 
-from orchidloom import drill
+from thymeflow import drill
 
 ROOT = Path(__file__).resolve().parent.parent
 SETTINGS = json.dumps({
@@ -78,14 +78,14 @@
     for n in range(40):
         line = REQUEST.replace("u:1", f"u:{n % 5}").replace("ab cls", f"{n:02x} cls")
         text += f"clock wall={6 + n / 10}\nat i=4\n{line}\nreminder cookie=1\nend\n"
-    replies = {subprocess.run([sys.executable, "-m", "orchidloom.drill"], input=text, text=True, cwd=ROOT,
+    replies = {subprocess.run([sys.executable, "-m", "thymeflow.drill"], input=text, text=True, cwd=ROOT,
                               capture_output=True, check=True,
                               env={**os.environ, "PYTHONHASHSEED": seed}).stdout for seed in "123"}
     assert len(replies) == 1
 
 
 def test_module_size_and_line_length() -> None:
-    lines = (ROOT / "orchidloom" / "policy.py").read_text().splitlines()
+    lines = (ROOT / "thymeflow" / "policy.py").read_text().splitlines()
     assert sum(bool(line.strip()) for line in lines) <= 400
     assert max(map(len, lines)) <= 110
-    assert "orchidloom/interface.py" in lines[0]
+    assert "thymeflow/interface.py" in lines[0]
--- a/tests/test_information.py
+++ b/tests/test_information.py
@@ -4,8 +4,8 @@
 
 import pytest
 
-from orchidloom import Gateway, notes
-from orchidloom import interface as i
+from thymeflow import Gateway, notes
+from thymeflow import interface as i
 from tests.helpers import PLAN, ended, only_store, request, sends, settings, started
 
 PEERS = i.Limits(cancel=True, max_attempts=3, peers=True)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,9 +11,9 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
-from orchidloom import Gateway
-from orchidloom import interface as i
-from orchidloom.job import Job
+from thymeflow import Gateway
+from thymeflow import interface as i
+from thymeflow.job import Job
 from tests.helpers import KEYED, RULES, SAFE, ended, fleet, request, sends, settings, started
 
 NEVER = {i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT}
--- a/orchidloom/drill.py
+++ b/thymeflow/drill.py
@@ -12,8 +12,8 @@
 from collections.abc import Callable
 from typing import Any, TextIO
 
-from orchidloom import interface as i
-from orchidloom.policy import Gateway
+from thymeflow import interface as i
+from thymeflow.policy import Gateway
 
 Fields = dict[str, str]
 
@@ -259,7 +259,7 @@
         try:
             drill.line(line)
         except (ValueError, KeyError, TypeError, AttributeError) as fault:
-            print(f"orchidloom.drill: line {number} is malformed ({fault}): {line[:200]}", file=sys.stderr)
+            print(f"thymeflow.drill: line {number} is malformed ({fault}): {line[:200]}", file=sys.stderr)
             return 1
     return 0
 
--- a/orchidloom/job.py
+++ b/thymeflow/job.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 from typing import Generic, TypeVar
 
-from orchidloom import interface as api
+from thymeflow import interface as api
 
 NEVER_RAN = (api.Status.FULL, api.Status.CONNECT_FAILED, api.Status.MOOT)   # as the wire defines them
 
--- a/orchidloom/policy.py
+++ b/thymeflow/policy.py
@@ -1,4 +1,4 @@
-"""Every decision of a gateway, after HIP-185. Types, events and actions: orchidloom/interface.py."""
+"""Every decision of a gateway, after HIP-185. Types, events and actions: thymeflow/interface.py."""
 
 from __future__ import annotations
 
@@ -8,9 +8,9 @@
 from math import exp, inf, isfinite, sqrt
 from typing import Any
 
-from orchidloom import interface as api
-from orchidloom import notes
-from orchidloom.job import NEVER_RAN, Job
+from thymeflow import interface as api
+from thymeflow import notes
+from thymeflow.job import NEVER_RAN, Job
 
 FLOOR = 0.8            # of the declared units: least charge beyond quota under pressure (HIP-185)
 DEMAND_PERIOD = 1.5    # s: memory of demand; some requests of a busy customer, shorter than most spells
