Build the real limiter round the module: RESP2 front, core, servers, counter, discovery

Twisted protocols and Deferreds with parsers of our own, all deadlines on one heap behind one callLater, transactions and user agents in tables of numbered slots.

--- a/tests/test_information.py
+++ b/tests/test_information.py
@@ -4,9 +4,9 @@
 
 import pytest
 
+from tests.helpers import PLAN, ended, only_store, request, sends, settings, started
 from thymeflow import Gateway, notes
 from thymeflow import interface as i
-from tests.helpers import PLAN, ended, only_store, request, sends, settings, started
 
 PEERS = i.Limits(cancel=True, max_attempts=3, peers=True)
 COUNTER = i.Information(max_units=4.0, counter=True, peer_intake=0.0)
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -11,10 +11,10 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from tests.helpers import KEYED, RULES, SAFE, ended, fleet, request, sends, settings, started
 from thymeflow import Gateway
 from thymeflow import interface as i
 from thymeflow.job import Job
-from tests.helpers import KEYED, RULES, SAFE, ended, fleet, request, sends, settings, started
 
 NEVER = {i.Status.FULL, i.Status.CONNECT_FAILED, i.Status.MOOT}
 KINDS = {"read": i.Effect.SAFE, "book": i.Effect.KEYED, "sign": i.Effect.UNSAFE, "odd": i.Effect.UNSAFE}
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -9,9 +9,9 @@
 from hypothesis import settings as hypothesis_settings
 from hypothesis import strategies as st
 
+from tests.helpers import CAPPED, PLAN, ended, only_store, request, sends, settings, started
 from thymeflow import interface as i
 from thymeflow.policy import Store
-from tests.helpers import CAPPED, PLAN, ended, only_store, request, sends, settings, started
 
 LATE = 100.0   # s after the start: stores made then are full
 
--- /dev/null
+++ b/thymeflow/net/clock.py
@@ -0,0 +1,89 @@
+"""The one clock, and the one structure in which all deadlines hang.
+
+Now is the monotonic clock plus an offset fixed at the start, so it never steps and still compares
+with the start times that discovery tells. Deadlines are absolute times on it.
+"""
+
+from __future__ import annotations
+
+import heapq
+import time
+from collections.abc import Callable
+from typing import Any
+
+_OFFSET = time.time() - time.monotonic()
+_COMPACT = 256   # cancelled deadlines that may lie about before they are swept out
+
+Entry = list[Any]   # [when, order, callback, argument]; callback None: cancelled or past
+
+
+def now() -> float:
+    """Unix time in seconds; never goes back."""
+    return time.monotonic() + _OFFSET
+
+
+class Deadlines:
+    """A heap of deadlines behind a single timer of the reactor, armed anew as the head changes."""
+
+    def __init__(self, reactor: Any) -> None:
+        self._reactor = reactor
+        self._heap: list[Entry] = []
+        self._order = 0
+        self._dead = 0
+        self._timer: Any = None
+        self._armed = 0.0
+        self._running = False
+
+    def at(self, when: float, callback: Callable[[int], None], argument: int = 0) -> Entry:
+        """Call back with the argument once `when` has come; the result is what `cancel` takes."""
+        self._order += 1
+        entry: Entry = [when, self._order, callback, argument]
+        heapq.heappush(self._heap, entry)
+        if self._heap[0] is entry:
+            self._arm()
+        return entry
+
+    def cancel(self, entry: Entry) -> None:
+        """Forget a deadline; one that is past or cancelled already is no matter."""
+        if entry[2] is None:
+            return
+        entry[2] = None
+        self._dead += 1
+        if self._dead > _COMPACT and self._dead * 2 > len(self._heap):
+            self._heap = [e for e in self._heap if e[2] is not None]
+            heapq.heapify(self._heap)
+            self._dead = 0
+
+    def _arm(self) -> None:
+        if self._running:
+            return
+        heap = self._heap
+        while heap and heap[0][2] is None:
+            heapq.heappop(heap)
+            self._dead -= 1
+        if not heap:
+            return
+        when = heap[0][0]
+        if self._timer is None:
+            self._timer = self._reactor.callLater(max(0.0, when - now()), self._fire)
+        elif when < self._armed:
+            self._timer.reset(max(0.0, when - now()))
+        else:
+            return
+        self._armed = when
+
+    def _fire(self) -> None:
+        self._timer, self._running = None, True
+        try:
+            # What a callback sets for at once waits for the next turn, so that sockets get theirs.
+            due = now()
+            while self._heap and self._heap[0][0] <= due:
+                entry = heapq.heappop(self._heap)
+                callback, entry[2] = entry[2], None
+                if callback is None:
+                    self._dead -= 1
+                else:
+                    callback(entry[3])
+        finally:
+            self._running = False
+            self._arm()
--- /dev/null
+++ b/thymeflow/net/config.py
@@ -0,0 +1,128 @@
+"""The configuration and the list of application servers, decoded once into the few values in use.
+
+Settings go through the adapter's own `settings_from`, so that the real limiter and the simulator's
+instances cannot read the same object differently.
+"""
+
+from __future__ import annotations
+
+import hashlib
+import json
+import os
+import re
+from collections.abc import Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Any
+
+from thymeflow import interface as api
+from thymeflow.drill import settings_from
+
+STATES = {"active": api.BackendState.READY, "leaving": api.BackendState.DRAINING,
+          "left": api.BackendState.GONE}
+_PLAIN_ID = re.compile(r"s-[0-9a-f]{8}")
+SPARE_SOCKETS = 40          # descriptors for standard streams, the reactor, the counter and discovery
+FEWEST_SOCKETS = 64
+
+
+class ConfigError(Exception):
+    """The configuration cannot be used; the text says why in one line."""
+
+
+@dataclass(frozen=True, slots=True)
+class Address:
+    """Where to connect or to listen."""
+
+    host: str
+    port: int
+
+    def __str__(self) -> str:
+        return f"{self.host}:{self.port}"
+
+
+@dataclass(frozen=True, slots=True)
+class Listed:
+    """A change of the list: what the module is told, and where each application server listens."""
+
+    membership: api.Membership
+    addresses: dict[int, Address]
+
+
+@dataclass(frozen=True, slots=True)
+class Config:
+    """All that the limiter is told at its start."""
+
+    name: str
+    listen: Address
+    discovery: Address
+    counter: Address | None
+    seed: int
+    sockets: int
+    memory: int
+    known: Listed
+    settings: api.Settings
+
+
+def address(text: Any) -> Address:
+    """An address written host:port."""
+    host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
+    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+        raise ValueError(f"{text!r} is no address")
+    return Address(host.strip("[]"), int(port))
+
+
+def server_number(name: Any) -> int:
+    """The number by which the module knows an application server: its id's digits, or else a digest."""
+    if not isinstance(name, str) or not name:
+        raise ValueError(f"{name!r} is no instance id")
+    if _PLAIN_ID.fullmatch(name):
+        return int(name[2:], 16)
+    return 1 << 32 | int.from_bytes(hashlib.blake2b(name.encode(), digest_size=4).digest(), "big")
+
+
+def listed(message: Any, cached: bool = False) -> Listed:
+    """A message in discovery's form; ValueError, KeyError or TypeError where it is not."""
+    backends, addresses = [], {}
+    for entry in message["instances"]:
+        number, state = server_number(entry["instanceId"]), STATES[entry["lifecycle"]]
+        backends.append(api.Backend(
+            number, str(entry.get("zone", "")), state, int(entry.get("cell", 0)),
+            str(entry.get("machineType", "")), float(entry.get("weight", 1.0)),
+            max(0, int(entry.get("startedAtMs", 0))) / 1000.0))
+        if state is not api.BackendState.GONE:
+            addresses[number] = address(entry["hostPort"])
+    whole = api.ListKind.CACHED if cached else api.ListKind.FULL
+    kind = whole if cached or message.get("reset") else api.ListKind.DELTA
+    return Listed(api.Membership(kind, tuple(backends), int(message["generation"])), addresses)
+
+
+def load(environment: Mapping[str, str] = os.environ) -> Config:
+    """Read the file that the environment names; ConfigError says what is wrong in one line."""
+    path = environment.get("BALANCER_CONFIG")
+    if not path:
+        raise ConfigError("BALANCER_CONFIG is not set")
+    try:
+        source = json.loads(Path(path).read_text())
+    except (OSError, ValueError) as fault:
+        raise ConfigError(f"{path}: {fault}") from None
+    if not isinstance(source, dict):
+        raise ConfigError(f"{path}: no JSON object")
+    try:
+        limits = source.get("limits", {})
+        sockets = int(limits.get("sockets", 1024))
+        if sockets < FEWEST_SOCKETS:
+            raise ValueError(f"limits.sockets: {sockets} is under {FEWEST_SOCKETS}")
+        empty = {"generation": 0, "reset": True, "instances": []}
+        return Config(
+            name=str(source.get("name") or environment.get("BALANCER_NAME", "limiter")),
+            listen=address(source.get("listen") or environment.get("BALANCER_LISTEN")),
+            discovery=address(source.get("discovery") or environment.get("BALANCER_DISCOVERY")),
+            counter=address(source["counter"]) if source.get("counter") else None,
+            seed=int(str(source.get("seed", "0")), 16), sockets=sockets,
+            memory=int(float(limits.get("memory_mb", 192)) * 2**20),
+            known=listed(source.get("known") or empty, cached=True),
+            settings=settings_from(source["settings"]))
+    except KeyError as fault:
+        raise ConfigError(f"{path}: {fault} is missing") from None
+    except (ValueError, TypeError, AttributeError, OverflowError) as fault:
+        raise ConfigError(f"{path}: {fault}") from None
--- /dev/null
+++ b/thymeflow/net/counter.py
@@ -0,0 +1,197 @@
+"""The counter: a few lasting connections, calls written behind one another, answers told in order.
+
+A name always takes the same connection, so that its answers come in the order of its calls. A call
+that is given up keeps its place in the line: its answer still comes, and must not be taken for the
+next one's.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from thymeflow import interface as api
+from thymeflow.net import clock, log, resp
+from thymeflow.net.config import Address
+from thymeflow.net.link import Link, dial
+
+LINES = 3            # connections; the counter may be split over as many parts
+DEAD = 1.0           # s: nothing heard while calls wait; the host is gone without a word
+MOST_WAITING = 512   # calls in one line that are not answered
+CONNECT = 0.25       # s: to connect
+PAUSE = 0.2          # s: between a failed connect and the next
+
+Result = tuple[api.Status, float]
+
+
+class Waiting:
+    """One call, until its answer has come; it may have been reported before."""
+
+    __slots__ = ("begun", "data", "due", "reported", "result")
+
+    def __init__(self, data: bytes, begun: float, result: Deferred[Result]) -> None:
+        self.data, self.begun, self.result, self.reported = data, begun, result, False
+        self.due: clock.Entry = []
+
+
+class Wire(Link):
+    """One connection to the counter."""
+
+    def __init__(self, line: Line) -> None:
+        super().__init__()
+        self.line = line
+
+    def resumeProducing(self) -> None:
+        """All that was written has left."""
+        super().resumeProducing()
+        self.line.left = len(self.line.written)
+
+    def message(self, value: resp.Value) -> None:
+        """The answer to the oldest call."""
+        self.line.answered(value)
+
+    def garbled(self, fault: str) -> None:
+        """The line cannot be followed any more."""
+        log.say("counter garbled", fault)
+        self.hang_up()
+        self.lost()
+
+    def lost(self) -> None:
+        """The connection ended."""
+        self.line.lost()
+
+
+class Line:
+    """A place in which calls stand in order: those written, and those that wait for a connection."""
+
+    def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address) -> None:
+        self._reactor, self._deadlines, self._address = reactor, deadlines, address
+        self._wire: Wire | None = None
+        self._dialing, self._again, self._heard = False, 0.0, 0.0
+        self.written: deque[Waiting] = deque()
+        self.left = 0                       # how many of the written ones have gone to the kernel
+        self._unwritten: deque[Waiting] = deque()
+
+    def call(self, data: bytes, deadline: float) -> Deferred[Result]:
+        """Put a call into the line."""
+        now, result = clock.now(), Deferred[Result]()
+        waiting = Waiting(data, now, result)
+        if self._wire is None:
+            self.connect()
+        if self._wire is None and not self._dialing:
+            self._report(waiting, (api.Status.CONNECT_FAILED, 0.0))
+        elif len(self.written) + len(self._unwritten) >= MOST_WAITING:
+            self._report(waiting, (api.Status.FULL, 0.0))   # nothing was added, as when turned away
+        else:
+            waiting.due = self._deadlines.at(deadline, lambda _: self._late(waiting))
+            if self._wire is None:
+                self._unwritten.append(waiting)
+            else:
+                self._write(waiting)
+        return result
+
+    def connect(self) -> None:
+        """Dial, unless that failed a moment ago."""
+        now = clock.now()
+        if self._dialing or self._wire is not None or now < self._again:
+            return
+        self._dialing = True
+        attempt = dial(self._reactor, self._deadlines, self._address, now + CONNECT, lambda: Wire(self))
+        attempt.addCallbacks(self._up, self._down)
+
+    def _up(self, wire: Wire) -> None:
+        self._dialing, self._heard = False, clock.now()
+        if wire.closed:
+            self.lost()
+            return
+        self._wire = wire
+        while self._unwritten:
+            self._write(self._unwritten.popleft())
+
+    def _down(self, failure: Any) -> None:
+        self._dialing, self._again = False, clock.now() + PAUSE
+        log.say("counter down", f"{self._address}: {failure.getErrorMessage()}")
+        self._fail_unwritten()
+
+    def _fail_unwritten(self) -> None:
+        while self._unwritten:
+            self._report(self._unwritten.popleft(), (api.Status.CONNECT_FAILED, 0.0))
+
+    def _write(self, waiting: Waiting) -> None:
+        assert self._wire is not None
+        self.written.append(waiting)
+        self._wire.write(waiting.data)
+
+    def _late(self, waiting: Waiting) -> None:
+        now = clock.now()
+        if waiting in self._unwritten:      # never written: nothing was added
+            self._unwritten.remove(waiting)
+            self._report(waiting, (api.Status.CONNECT_FAILED, 0.0))
+            return
+        self._report(waiting, (api.Status.TIMEOUT, 0.0))
+        head = self.written[0] if self.written else waiting
+        if self._wire is not None and now - max(self._heard, head.begun) > DEAD:
+            log.say("counter silent", f"{self._address}: no answer for {DEAD:g} s, connecting anew")
+            self._wire.hang_up()
+            self.lost()
+
+    def answered(self, value: resp.Value) -> None:
+        """The oldest call has its answer, whether or not anybody still waits for it."""
+        self._heard = clock.now()
+        if not self.written:
+            log.say("counter garbled", "answer to nothing")
+            return
+        waiting = self.written.popleft()
+        self.left = max(0, self.left - 1)
+        self._report(waiting, self._result(value))
+
+    @staticmethod
+    def _result(value: resp.Value) -> Result:
+        if isinstance(value, resp.Problem):
+            if not value.startswith(b"BUSY"):
+                log.say("counter odd", repr(bytes(value)[:80]))
+            return api.Status.FULL, 0.0
+        try:
+            if isinstance(value, bytes) and not isinstance(value, resp.Simple):
+                return api.Status.OK, float(value)
+        except ValueError:
+            pass
+        log.say("counter odd", str(value)[:80])
+        return api.Status.TIMEOUT, 0.0      # it may have been added; the total cannot be told
+
+    def lost(self) -> None:
+        """The connection ended: what had left may have been added, the rest was not."""
+        self._wire = None
+        written, left = list(self.written), self.left
+        self.written.clear()
+        self.left = 0
+        for place, waiting in enumerate(written):
+            status = api.Status.TIMEOUT if place < left else api.Status.CONNECT_FAILED
+            self._report(waiting, (status, 0.0))
+        self._fail_unwritten()
+
+    def _report(self, waiting: Waiting, result: Result) -> None:
+        if not waiting.reported:
+            waiting.reported = True
+            if waiting.due:
+                self._deadlines.cancel(waiting.due)
+            waiting.result.callback(result)
+
+
+class Counter:
+    """The counter, by a few lines."""
+
+    def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address) -> None:
+        self._lines = [Line(reactor, deadlines, address) for _ in range(LINES)]
+
+    def connect(self) -> None:
+        """Connect ahead of the first calls."""
+        for line in self._lines:
+            line.connect()
+
+    def add(self, name: int, amount: float, ttl: float, deadline: float) -> Deferred[Result]:
+        """Add to a named number; always ends in a status and the total, never in a failure."""
+        data = resp.command(b"INCRTTL", b"%d" % name, b"%.6f" % amount, b"%d" % max(1, round(ttl * 1000.0)))
+        return self._lines[name % LINES].call(data, deadline)
--- /dev/null
+++ b/thymeflow/net/discovery.py
@@ -0,0 +1,221 @@
+"""The watch on discovery: an HTTP/1.1 answer that never ends, a JSON object on each line.
+
+What is known holds while discovery is silent. A broken watch starts again from the last version, so
+nothing is missed and nothing is asked for twice.
+"""
+
+from __future__ import annotations
+
+import json
+from collections.abc import Callable
+from typing import Any
+
+from twisted.internet.protocol import Protocol, connectionDone
+from twisted.python.failure import Failure
+
+from thymeflow.net import clock, log
+from thymeflow.net.config import Address, Listed, listed
+from thymeflow.net.link import dial
+
+SILENCE = 6.0               # s: empty lines come every 2 s, so this long without one is a break
+CONNECT = 1.0               # s: to connect
+PAUSE = 0.3                 # s: before the next try
+MOST_HEAD = 8 * 1024        # bytes of an answer's head
+MOST_LINE = 4 * 2**20       # bytes of one message: a list of thousands
+
+
+class HttpError(Exception):
+    """The answer is no HTTP/1.1 that we can read."""
+
+
+class Body:
+    """Takes an HTTP/1.1 answer apart, without I/O; gives the lines of its body as they come."""
+
+    def __init__(self) -> None:
+        self._held = bytearray()
+        self._head_read = False
+        self._left = 0              # bytes of the present chunk, or of the body; -1: until the end
+        self._chunked = False
+        self._after_chunk = False
+        self._line = bytearray()
+        self.done = False
+
+    def feed(self, data: bytes) -> list[bytes]:
+        """The lines that these bytes complete; the last one needs no end of line."""
+        self._held += data
+        lines: list[bytes] = []
+        while not self.done and self._step(lines):
+            if len(self._line) > MOST_LINE:
+                raise HttpError("line too long")
+        if self.done and self._line:
+            lines.append(bytes(self._line))
+            self._line.clear()
+        return lines
+
+    def _step(self, lines: list[bytes]) -> bool:
+        if not self._head_read:
+            return self._head()
+        if self._left:
+            return self._take(lines)
+        if not self._chunked:
+            self.done = True
+            return False
+        return self._chunk()
+
+    def _head(self) -> bool:
+        end = self._held.find(b"\r\n\r\n")
+        if end < 0:
+            if len(self._held) > MOST_HEAD:
+                raise HttpError("head too long")
+            return False
+        first, *fields = bytes(self._held[:end]).split(b"\r\n")
+        del self._held[:end + 4]
+        words = first.split(b" ", 2)
+        if not words[0].startswith(b"HTTP/1.") or len(words) < 2:
+            raise HttpError("no HTTP/1 answer")
+        if words[1] != b"200":
+            raise HttpError(f"status {words[1][:16].decode('ascii', 'replace')}")
+        named = {name.strip().lower(): value.strip().lower() for name, _, value in
+                 (f.partition(b":") for f in fields)}
+        self._chunked = named.get(b"transfer-encoding", b"").endswith(b"chunked")
+        length = named.get(b"content-length")
+        if not self._chunked:
+            if length is not None and not length.isdigit():
+                raise HttpError("bad length")
+            self._left = -1 if length is None else int(length)
+        self._head_read = True
+        return True
+
+    def _chunk(self) -> bool:
+        end = self._held.find(b"\r\n")
+        if end < 0:
+            if len(self._held) > 1024:
+                raise HttpError("chunk head too long")
+            return False
+        text = bytes(self._held[:end]).partition(b";")[0].strip()
+        if self._after_chunk and end == 0:      # the end of line that closes a chunk
+            del self._held[:2]
+            self._after_chunk = False
+            return True
+        if self._after_chunk or not text or len(text) > 8:
+            raise HttpError("bad chunk")
+        try:
+            self._left = int(text, 16)
+        except ValueError:
+            raise HttpError("bad chunk") from None
+        if self._left < 0:
+            raise HttpError("bad chunk")
+        del self._held[:end + 2]
+        self.done = self._left == 0
+        return not self.done
+
+    def _take(self, lines: list[bytes]) -> bool:
+        if not self._held:
+            return False
+        part = bytes(self._held if self._left < 0 else self._held[:self._left])
+        del self._held[:len(part)]
+        if self._left > 0:
+            self._left -= len(part)
+            self._after_chunk = self._left == 0 and self._chunked
+        *whole, rest = (bytes(self._line) + part).split(b"\n") if self._line else part.split(b"\n")
+        lines.extend(line.rstrip(b"\r") for line in whole)
+        self._line = bytearray(rest)
+        return True
+
+
+class Reading(Protocol):
+    """One GET and its answer."""
+
+    transport: Any
+
+    def __init__(self, path: str, host: Address, line: Callable[[bytes], None],
+                 ended: Callable[[str], None]) -> None:
+        self._path, self._host, self._line, self._ended = path, host, line, ended
+        self._body, self._over = Body(), False
+
+    def connectionMade(self) -> None:
+        """Ask."""
+        self.transport.setTcpNoDelay(True)
+        self.transport.write(f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
+                             "Accept: application/json\r\n\r\n".encode())
+
+    def dataReceived(self, data: bytes) -> None:
+        """Pass the lines on as they are complete."""
+        try:
+            for line in self._body.feed(data):
+                if not self._over:
+                    self._line(line)
+        except HttpError as fault:
+            self.end(str(fault))
+        if self._body.done:
+            self.end("the answer has ended")
+
+    def connectionLost(self, reason: Failure = connectionDone) -> None:
+        """The other end closed or broke it."""
+        self.end("the connection has ended")
+
+    def end(self, why: str) -> None:
+        """Close, and say so once."""
+        if not self._over:
+            self._over = True
+            self.transport.abortConnection()
+            self._ended(why)
+
+
+class Discovery:
+    """The list as discovery tells it."""
+
+    def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address, version: int,
+                 changed: Callable[[Listed], None]) -> None:
+        self._reactor, self._deadlines, self._address = reactor, deadlines, address
+        self._version, self._changed = version, changed
+        self._watching: Reading | None = None
+        self._heard = 0.0
+
+    def start(self) -> None:
+        """Begin to watch, and go on for good."""
+        self._watch(0)
+        self._look(0)
+
+    def _watch(self, _: int) -> None:
+        path = f"/api/targets?stream=1&index={self._version}"
+        attempt = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
+                       lambda: Reading(path, self._address, self._line, self._broken))
+        attempt.addCallbacks(self._watched, lambda failure: self._broken(failure.getErrorMessage()))
+
+    def _watched(self, reading: Reading) -> None:
+        self._watching, self._heard = reading, clock.now()
+
+    def _look(self, _: int) -> None:
+        now = clock.now()
+        if self._watching is not None and now - self._heard > SILENCE:
+            self._watching.end(f"silent for {SILENCE:g} s")
+        self._deadlines.at(now + 0.5, self._look)
+
+    def _broken(self, why: str) -> None:
+        self._watching = None
+        log.say("discovery", f"watch at {self._address} broke: {why}")
+        self._deadlines.at(clock.now() + PAUSE, self._watch)
+
+    def _line(self, line: bytes) -> None:
+        self._heard = clock.now()
+        if not line.strip():
+            return
+        try:
+            change = listed(json.loads(line))
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as fault:
+            # The list stands. What this line held is asked for again, from the version before it.
+            log.say("discovery", f"unreadable line: {fault!r}")
+            if self._watching is not None:
+                self._watching.end("unreadable line")
+            return
+        self._version = change.membership.version
+        self._changed(change)
+
+    def fetch(self) -> None:
+        """Ask for the whole list once; a failure leaves the old one."""
+        def failed(_: Any) -> None:
+            log.say("discovery", f"no list from {self._address}")
+
+        dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
+             lambda: Reading("/api/targets", self._address, self._line, lambda _: None)).addErrback(failed)
--- /dev/null
+++ b/thymeflow/net/lifecycle.py
@@ -0,0 +1,80 @@
+"""The phases from start to exit, as named states of one object."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from enum import Enum
+from typing import Any
+
+from thymeflow.net import clock, log
+from thymeflow.net.core import Core
+from thymeflow.net.front import Front
+
+LINGER = 0.7    # s after SIGTERM: user agents still come and are served, as they have not been told yet
+EXTRA = 1.0     # s past the longest deadline: a user agent that never takes its answer is left behind
+
+
+class Phase(Enum):
+    """Where the program is in its life."""
+
+    STARTING = "starting"    # no list yet, or not listening
+    SERVING = "serving"
+    DRAINING = "draining"    # told to end; serves for a moment, then finishes what it took
+    STOPPED = "stopped"
+
+
+class Lifecycle:
+    """Goes from phase to phase, never back."""
+
+    def __init__(self, deadlines: clock.Deadlines, core: Core, front: Front, longest: float,
+                 stop: Callable[[], None]) -> None:
+        self.phase = Phase.STARTING
+        self._deadlines, self._core, self._front, self._longest = deadlines, core, front, longest
+        self._stop, self._port = stop, None
+        self._listed = self._closed = False
+        front.able = lambda: self.phase in (Phase.SERVING, Phase.DRAINING)
+        front.gone = self._look
+
+    def _enter(self, phase: Phase) -> None:
+        self.phase = phase
+        log.say("phase", phase.value)
+
+    def listed(self) -> None:
+        """A list with application servers is known."""
+        self._listed = True
+        self._ready()
+
+    def listening(self, port: Any) -> None:
+        """User agents can connect."""
+        self._port = port
+        self._ready()
+
+    def _ready(self) -> None:
+        if self.phase is Phase.STARTING and self._listed and self._port is not None:
+            self._enter(Phase.SERVING)
+
+    def terminate(self) -> None:
+        """SIGTERM or SIGINT: end in good order."""
+        if self.phase in (Phase.STARTING, Phase.SERVING):
+            self._enter(Phase.DRAINING)
+            now = clock.now()
+            self._deadlines.at(now + LINGER, self._close)
+            self._deadlines.at(now + LINGER + self._longest + EXTRA, self._end)
+
+    def _close(self, _: int) -> None:
+        if self._port is not None:
+            self._port.stopListening()
+        self._closed = True
+        self._front.close()
+        self._look()
+
+    def _look(self) -> None:
+        if self._closed and not len(self._front.agents) and not self._core.open():
+            self._end(0)
+        elif self._closed and not len(self._front.agents):
+            self._deadlines.at(clock.now() + 0.05, lambda _: self._look())   # passes given up still end
+
+    def _end(self, _: int) -> None:
+        if self.phase is not Phase.STOPPED:
+            self._enter(Phase.STOPPED)
+            self._stop()
--- /dev/null
+++ b/thymeflow/net/log.py
@@ -0,0 +1,38 @@
+"""Log lines for on-call staff: one kind of line, at most so often, with what was left out counted.
+
+A broken peer can cause thousands of the same line in a second; the log must not cost more than the
+traffic. The page `docs/on-call.md` lists every kind.
+"""
+
+from __future__ import annotations
+
+import logging
+
+from thymeflow.net import clock
+
+PACE = 1.0   # s: least time between two lines of one kind
+
+_log = logging.getLogger("thymeflow")
+_last: dict[str, float] = {}
+_skipped: dict[str, int] = {}
+
+
+def say(kind: str, text: str) -> None:
+    """Write `kind: text`, or count it where that kind was written a moment ago."""
+    now = clock.now()
+    if now - _last.get(kind, 0.0) < PACE:
+        _skipped[kind] = _skipped.get(kind, 0) + 1
+        return
+    _last[kind] = now
+    skipped = _skipped.pop(kind, 0)
+    more = f" ({skipped} more of this kind before)" if skipped else ""
+    _log.info("%s: %s%s", kind, " ".join(text.split())[:300], more)
+
+
+def set_up(name: str) -> None:
+    """Send all lines, Twisted's own included, to standard error under the limiter's name."""
+    from twisted.python.log import PythonLoggingObserver
+
+    logging.basicConfig(level=logging.INFO, format=f"%(asctime)s {name} %(message)s")
+    logging.getLogger("twisted").setLevel(logging.ERROR)
+    PythonLoggingObserver().start()   # type: ignore[no-untyped-call]
--- /dev/null
+++ b/thymeflow/net/upstream.py
@@ -0,0 +1,274 @@
+"""Application servers: the connections kept to each, proxy passes over them, and how passes end.
+
+One pass at a time goes over a connection, since giving a pass up means closing its connection and
+would take others along. The warmest connection is used first, so that the rest can fall idle and go.
+"""
+
+from __future__ import annotations
+
+from collections import deque
+from typing import Any
+
+from twisted.internet.defer import Deferred
+
+from thymeflow import interface as api
+from thymeflow.net import clock, log, resp
+from thymeflow.net.call import Call
+from thymeflow.net.config import Address, Listed
+from thymeflow.net.core import Order, Outcome
+from thymeflow.net.link import Link, dial
+from thymeflow.net.table import Table
+
+IDLE_SHARE = 0.7     # of conn-idle: an idle connection is dropped then, well before the other end may
+SWEEP = 1.0          # s: between looks for connections that have been idle for long
+READY = api.BackendState.READY
+FIELDS = {b"inflight": "inflight", b"active": "inflight", b"queue": "queued", b"waiting": "queued",
+          b"util": "utilization", b"cpu": "utilization", b"latency_ms": "service_time",
+          b"avg_ms": "service_time", b"qps": "requests_per_second", b"rps": "requests_per_second",
+          b"eps": "errors_per_second", b"err_rps": "errors_per_second"}
+
+
+def _pairs(text: bytes, found: dict[bytes, float]) -> None:
+    for pair in text.split(b","):
+        name, _, value = pair.partition(b"=")
+        try:
+            found[name] = float(value)
+        except ValueError:
+            log.say("bad figures", repr(text[:60]))
+
+
+def _outcome(status: api.Status, value: bytes, figures: list[bytes]) -> Outcome:
+    found: dict[bytes, float] = {}
+    for text in figures:
+        _pairs(text, found)
+    used, units = found.get(b"used"), found.get(b"cost", 0.0)
+    load = {FIELDS[n]: v / 1000.0 if n.endswith(b"_ms") else v for n, v in found.items() if n in FIELDS}
+    return Outcome(status, value, used / 100.0 if used is not None and 0.0 <= used < 1e9 else None,
+                   units if 0.0 < units < 1e9 else None, api.LoadReport(**load) if load else None)
+
+
+def outcome_of(reply: resp.Value) -> Outcome:
+    """What an application server's reply means; one that makes no sense is an error that may have run."""
+    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
+        return _outcome(api.Status.OK, reply[0], [r for r in reply[1:] if isinstance(r, bytes)])
+    if isinstance(reply, resp.Problem):
+        words = reply.split()
+        figures = [w for w in words[1:] if b"=" in w]
+        status = api.Status.FULL if words[:1] == [b"BUSY"] else api.Status.ERROR
+        if status is api.Status.ERROR and words[:2] != [b"ERR", b"failed"]:
+            log.say("server odd", f"unexpected error {bytes(reply)[:80]!r}")
+        return _outcome(status, b"", figures)
+    log.say("server odd", f"unexpected reply {str(reply)[:80]}")
+    return Outcome(api.Status.ERROR)
+
+
+class ProxyPass:
+    """One pass, from the order to its outcome."""
+
+    __slots__ = ("connection", "due", "ended", "order")
+
+    def __init__(self, order: Order, ended: Deferred[Outcome]) -> None:
+        self.order, self.ended = order, ended
+        self.connection: Connection | None = None
+        self.due: clock.Entry = []
+
+
+class Pool:
+    """What is kept for one application server."""
+
+    __slots__ = ("address", "dialing", "id", "idle", "state", "waiting")
+
+    def __init__(self, number: int, address: Address, state: api.BackendState) -> None:
+        self.id, self.address, self.state = number, address, state
+        self.idle: list[Connection] = []         # the warmest last
+        self.waiting: deque[int] = deque()       # passes for which a connection is being opened
+        self.dialing = 0
+
+
+class Connection(Link):
+    """A connection to an application server, which carries one pass at a time."""
+
+    def __init__(self, upstream: Upstream, pool: Pool) -> None:
+        super().__init__()
+        self.upstream, self.pool = upstream, pool
+        self.carries = -1          # handle of the pass that is out on it
+        self.since = 0.0           # when it fell idle
+
+    def message(self, value: resp.Value) -> None:
+        """An answer, if one is due."""
+        if self.carries < 0:
+            self.garbled("answer to nothing")
+        else:
+            self.upstream.answered(self, outcome_of(value))
+
+    def garbled(self, fault: str) -> None:
+        """The pass that is out may have run, and its answer cannot be told."""
+        log.say("server garbled", f"{self.pool.address}: {fault}")
+        self.hang_up()
+        self.lost()
+
+    def lost(self) -> None:
+        """The other end closed or broke it."""
+        self.upstream.lost(self)
+
+
+class Upstream:
+    """All application servers."""
+
+    def __init__(self, reactor: Any, deadlines: clock.Deadlines, limits: api.Limits, most: int) -> None:
+        self._reactor, self._deadlines, self._limits, self._most = reactor, deadlines, limits, most
+        self._pools: dict[int, Pool] = {}
+        self._passes: Table[ProxyPass] = Table(1 << 16)
+        self._count = 0             # connections open or being opened
+        self._sweep(0)
+
+    def listed(self, listed: Listed) -> None:
+        """A change of the list, which holds from now on for all that is not written yet."""
+        if listed.membership.kind is not api.ListKind.DELTA:
+            for number in self._pools.keys() - {b.id for b in listed.membership.backends}:
+                self._retire(self._pools.pop(number), api.BackendState.GONE)
+        for entry in listed.membership.backends:
+            pool, address = self._pools.get(entry.id), listed.addresses.get(entry.id)
+            if pool is not None and (address != pool.address or entry.state is api.BackendState.GONE):
+                self._retire(self._pools.pop(entry.id), api.BackendState.GONE)
+                pool = None
+            if pool is None and address is not None:
+                self._pools[entry.id] = Pool(entry.id, address, entry.state)
+            elif pool is not None and entry.state is READY:
+                pool.state = READY
+            elif pool is not None:
+                self._retire(pool, entry.state)
+
+    def _retire(self, pool: Pool, state: api.BackendState) -> None:
+        # No new work may reach a server that drains, so passes that wait for a connection end here.
+        pool.state = state
+        self._close(pool)
+        while pool.waiting:
+            self._end(pool.waiting.popleft(), Outcome(api.Status.CONNECT_FAILED))
+
+    def _close(self, pool: Pool) -> None:
+        for connection in pool.idle:
+            connection.hang_up()
+        self._count -= len(pool.idle)
+        pool.idle.clear()
+
+    def close_idle(self, backend: int) -> None:
+        """Close the idle connections to one server."""
+        if pool := self._pools.get(backend):
+            self._close(pool)
+
+    def begin(self, order: Order) -> Deferred[Outcome]:
+        """Make a pass; cancelling the Deferred gives it up."""
+        ended: Deferred[Outcome] = Deferred(lambda _: self._give_up(handle, api.Status.CANCELLED))
+        going = ProxyPass(order, ended)
+        handle = self._passes.add(going)
+        pool = self._pools.get(order.backend)
+        if order.deadline <= clock.now():
+            self._end(handle, Outcome(api.Status.TIMEOUT))
+        elif pool is None or pool.state is not READY:
+            self._end(handle, Outcome(api.Status.CONNECT_FAILED))
+        else:
+            going.due = self._deadlines.at(order.deadline, self._late, handle)
+            if pool.idle:
+                self._pass_on(pool.idle.pop(), handle)
+            elif self._count < self._most or self._spare_one():
+                pool.waiting.append(handle)
+                self._dial(pool)
+            else:
+                log.say("pool", f"all {self._most} connections to application servers are busy")
+                self._end(handle, Outcome(api.Status.CONNECT_FAILED))
+        return ended
+
+    def _spare_one(self) -> bool:
+        # The descriptor limit binds over all servers: the longest idle connection anywhere makes room.
+        pools = [p for p in self._pools.values() if p.idle]
+        if not pools:
+            return False
+        min(pools, key=lambda p: p.idle[0].since).idle.pop(0).hang_up()
+        self._count -= 1
+        return True
+
+    def _dial(self, pool: Pool) -> None:
+        pool.dialing, self._count = pool.dialing + 1, self._count + 1
+        deadline = clock.now() + self._limits.connect_timeout
+        attempt = dial(self._reactor, self._deadlines, pool.address, deadline, lambda: Connection(self, pool))
+        attempt.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(pool,))
+
+    def _dialled(self, connection: Connection) -> None:
+        connection.pool.dialing -= 1
+        if not connection.closed:
+            self._release(connection)
+
+    def _not_dialled(self, failure: Any, pool: Pool) -> None:
+        pool.dialing, self._count = pool.dialing - 1, self._count - 1
+        log.say("connect failed", f"{pool.address}: {failure.getErrorMessage()}")
+        # Each waiting pass has a dial of its own, but any connection that came free may have served it.
+        if len(pool.waiting) > pool.dialing:
+            self._end(pool.waiting.popleft(), Outcome(api.Status.CONNECT_FAILED))
+
+    def _release(self, connection: Connection) -> None:
+        pool = connection.pool
+        if pool.state is not READY:   # looked at again when about to write: it may drain by now
+            connection.hang_up()
+            self._count -= 1
+        elif pool.waiting:
+            self._pass_on(connection, pool.waiting.popleft())
+        else:
+            connection.since = clock.now()
+            pool.idle.append(connection)
+
+    def _pass_on(self, connection: Connection, handle: int) -> None:
+        going = self._passes.get(handle)
+        assert going is not None and isinstance(going.order.payload, Call)
+        going.connection, connection.carries = connection, handle
+        wait = max(1, int((going.order.deadline - clock.now()) * 1000.0))
+        connection.write(going.order.payload.write(wait))
+
+    def answered(self, connection: Connection, outcome: Outcome) -> None:
+        """The pass out on this connection has its answer; the connection is free again first."""
+        handle, connection.carries = connection.carries, -1
+        self._release(connection)
+        self._end(handle, outcome)
+
+    def lost(self, connection: Connection) -> None:
+        """A connection ended; a pass not wholly written has never run, another one may have."""
+        handle, connection.carries = connection.carries, -1
+        self._count -= 1
+        if handle >= 0:
+            log.say("reset", f"{connection.pool.address} broke a connection with a proxy pass out")
+            self._end(handle, Outcome(api.Status.RESET if connection.flushed else api.Status.CONNECT_FAILED))
+        elif connection in connection.pool.idle:
+            connection.pool.idle.remove(connection)
+
+    def _late(self, handle: int) -> None:
+        going = self._passes.get(handle)
+        if going is not None:
+            left = going.connection is not None and going.connection.flushed
+            self._give_up(handle, api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED)
+
+    def _give_up(self, handle: int, status: api.Status) -> None:
+        going = self._passes.get(handle)
+        if going is None:
+            return
+        if going.connection is not None:   # closing it is how a server learns that nobody waits
+            going.connection.carries = -1
+            going.connection.hang_up()
+            self._count -= 1
+        elif pool := self._pools.get(going.order.backend):
+            pool.waiting.remove(handle)
+        self._end(handle, Outcome(status))
+
+    def _end(self, handle: int, outcome: Outcome) -> None:
+        going = self._passes.remove(handle)
+        if going is not None:
+            if going.due:
+                self._deadlines.cancel(going.due)
+            going.ended.callback(outcome)
+
+    def _sweep(self, _: int) -> None:
+        now = clock.now()
+        for pool in self._pools.values():
+            while pool.idle and now - pool.idle[0].since > IDLE_SHARE * self._limits.connection_idle:
+                pool.idle.pop(0).hang_up()
+                self._count -= 1
+        self._deadlines.at(now + SWEEP, self._sweep)
