--- /dev/null
+++ b/tests/limiter.py
@@ -0,0 +1,172 @@
+"""The one helper of the socket tests: the real program as a process, and its peers played by hand.
+
+Nothing runs beside the test: every peer is a plain socket that the test reads and writes in its own
+order, so that a test says exactly what came first. Ports are the system's choice.
+"""
+
+from __future__ import annotations
+
+import json
+import os
+import select
+import signal
+import socket
+import subprocess
+import sys
+import time
+from pathlib import Path
+from typing import Any
+
+ROOT = Path(__file__).resolve().parent.parent
+PATIENCE = 20.0   # s: for what must happen; only a failing test waits so long
+SETTINGS: dict[str, Any] = {
+    "azs": ["east"], "balancers": 1, "index": 0, "zone": "east", "step": 0.002,
+    "caps": {"cancel": True, "max-attempts": 3, "retry-after": True, "max-retry-after": 2.0,
+             "dial-timeout": 0.25, "conn-idle": 30.0, "open-cap": 100},
+    "classes": [{"name": "look", "on-time": 1.0, "deadline": 4.0, "effect": "retryable"},
+                {"name": "book", "on-time": 1.0, "deadline": 4.0, "effect": "dedup", "key-scope": "cell",
+                 "window": 4.0}],
+    "family-info": {"trued-up": True, "most-units": 4, "may-count": True, "counter-timeout": 0.03},
+    "report": {"how": "inline", "fields": ["avg_ms"]},
+    "rules": {"drain-grace": 1.0, "grace-to-answer": 0.008},
+    "tiers-of-service": [{"name": "basic", "refill": 50.0, "most-at-once": 200.0}]}
+
+
+def request(number: int, cls: str = "look", wait: int = 3000, extra: str = "", body: bytes = b"B") -> bytes:
+    """A request's command."""
+    key = ",k=5c0f6e1a2b3d4c59" if cls == "book" else ""
+    terms = f"c={cls},t=basic,d={wait}{key},units=1,spread=1,first=0{extra}".encode()
+    words = [b"SVC.SUBMIT" if cls == "book" else b"SVC.QUERY", b"00000000b4d65521", b"%016x" % number, terms]
+    return command(*words, *([body] if cls == "book" else []))
+
+
+def command(*words: bytes) -> bytes:
+    """A command as a client writes it."""
+    return b"*%d\r\n" % len(words) + b"".join(b"$%d\r\n%b\r\n" % (len(w), w) for w in words)
+
+
+class Peer:
+    """One connection, read and written by the test."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        self.sock = sock
+        sock.settimeout(PATIENCE)
+        self.file = sock.makefile("rb")
+
+    def send(self, data: bytes) -> None:
+        self.sock.sendall(data)
+
+    def line(self) -> bytes:
+        return self.file.readline().rstrip(b"\r\n")
+
+    def words(self) -> list[bytes]:
+        """A whole command."""
+        return [self.file.read(int(self.line()[1:]) + 2)[:-2] for _ in range(int(self.line()[1:]))]
+
+    def bulk(self) -> bytes:
+        """A whole bulk string."""
+        return self.file.read(int(self.line()[1:]) + 2)[:-2]
+
+    def ended(self) -> bool:
+        """Waits for the other end to close; True if nothing else came first."""
+        try:
+            return self.file.read(1) == b""
+        except ConnectionResetError:
+            return True
+
+    def silent(self, seconds: float) -> bool:
+        """Whether nothing comes for so long."""
+        return not select.select([self.sock], [], [], seconds)[0]
+
+    def close(self) -> None:
+        self.file.close()
+        self.sock.close()
+
+
+class Listener:
+    """A peer that the limiter connects to."""
+
+    def __init__(self) -> None:
+        self.sock = socket.create_server(("127.0.0.1", 0))
+        self.sock.settimeout(PATIENCE)
+        self.address = f"127.0.0.1:{self.sock.getsockname()[1]}"
+
+    def accept(self) -> Peer:
+        return Peer(self.sock.accept()[0])
+
+    def quiet(self, seconds: float) -> bool:
+        """Whether nobody connects for so long."""
+        return not select.select([self.sock], [], [], seconds)[0]
+
+
+class Limiter:
+    """The program, its configuration and its listening peers; use it as a context."""
+
+    def __init__(self, folder: Path, servers: int = 1, known: bool = True, **settings: Any) -> None:
+        self.servers = [Listener() for _ in range(servers)]
+        self.discovery, self.counter = Listener(), Listener()
+        listed = [self.entry(n) for n in range(servers)] if known else []
+        config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address,
+                  "counter": self.counter.address, "seed": "8c1f30d27a5be964",
+                  "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 1024},
+                  "known": {"generation": 41, "reset": True, "instances": listed},
+                  "settings": {**SETTINGS, **settings}}
+        path = folder / "config.json"
+        path.write_text(json.dumps(config))
+        self.process = subprocess.Popen([sys.executable, "-m", "thymeflow"], cwd=ROOT, text=True,
+                                        stderr=subprocess.PIPE,
+                                        env={**os.environ, "BALANCER_CONFIG": str(path)})
+        self.port = int(self.log("listening:").rsplit(":", 1)[1])
+
+    def entry(self, number: int, lifecycle: str = "active") -> dict[str, Any]:
+        """A server as discovery lists it."""
+        return {"instanceId": f"s-{number + 1:08x}", "hostPort": self.servers[number].address, "zone": "east",
+                "machineType": "m", "cell": 0, "lifecycle": lifecycle, "weight": 1.0, "startedAtMs": 0}
+
+    def log(self, part: str) -> str:
+        """The next log line that holds the part."""
+        assert self.process.stderr is not None
+        for line in self.process.stderr:
+            if part in line:
+                return line.strip()
+        raise AssertionError(f"the log ended without {part!r}")
+
+    def connect(self) -> Peer:
+        return Peer(socket.create_connection(("127.0.0.1", self.port), PATIENCE))
+
+    def watch(self) -> tuple[Peer, bytes]:
+        """The watch as discovery sees it, already answered with a head, and the line it asked with."""
+        peer = self.discovery.accept()
+        asked = peer.line()
+        while peer.line():
+            pass
+        peer.send(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+        return peer, asked
+
+    def tell(self, watch: Peer, generation: int, *entries: dict[str, Any]) -> None:
+        """A change, in two chunks to show that their ends mean nothing."""
+        text = json.dumps({"generation": generation, "reset": False, "instances": entries}).encode() + b"\n"
+        for part in (text[:20], text[20:]):
+            watch.send(b"%x\r\n%b\r\n" % (len(part), part))
+
+    def until(self, wanted: bytes, ask: bytes) -> None:
+        """Ask on a connection of its own until the answer begins as wanted."""
+        peer, end = self.connect(), time.monotonic() + PATIENCE
+        answer = b""
+        while not answer.startswith(wanted):
+            assert time.monotonic() < end, answer
+            peer.send(ask)
+            answer = peer.line()
+        peer.close()
+
+    def terminate(self) -> None:
+        self.process.send_signal(signal.SIGTERM)
+
+    def __enter__(self) -> Limiter:
+        return self
+
+    def __exit__(self, *_: object) -> None:
+        self.process.kill()
+        self.process.communicate()
+        for listener in (*self.servers, self.discovery, self.counter):
+            listener.sock.close()
--- /dev/null
+++ b/tests/test_limiter.py
@@ -0,0 +1,250 @@
+"""The real program on sockets: user agents in front, application servers, discovery and counter behind."""
+
+from __future__ import annotations
+
+import os
+import select
+import subprocess
+import sys
+import time
+from pathlib import Path
+
+import pytest
+
+from tests.limiter import PATIENCE, ROOT, Limiter, command, request
+
+GOOD = b"*3\r\n$5\r\nvalue\r\n$14\r\nused=37,cost=2\r\n$11\r\navg_ms=14.5\r\n"
+
+
+def test_a_request_is_served_and_passed_on_with_nothing_changed_but_d(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(command(b"PING"))
+        assert agent.line() == b"+PONG"
+        agent.send(request(1, "book", extra=",new=1", body=b"\r\n$5\r\n"))
+        server = limiter.servers[0].accept()
+        verb, customer, name, terms, body = server.words()
+        assert (verb, customer, name) == (b"SVC.SUBMIT", b"00000000b4d65521", b"%016x" % 1)
+        assert body == b"\r\n$5\r\n"
+        before, _, rest = terms.partition(b"d=")
+        wait, _, after = rest.partition(b",")
+        assert (before, after) == (b"c=book,t=basic,", b"k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0,new=1")
+        assert 0 < int(wait) <= 3000
+        server.send(GOOD)
+        assert agent.bulk() == b"value"
+        agent.send(request(2))
+        assert server.words()[2] == b"%016x" % 2   # the warm connection is used again
+        server.send(b"*3\r\n$0\r\n\r\n$-1\r\n$-1\r\n")
+        assert agent.bulk() == b""
+
+
+def test_answers_come_in_the_order_of_their_commands(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(request(1) + request(2) + command(b"PING"))
+        peers = [limiter.servers[0].accept(), limiter.servers[0].accept()]
+        by_id = {peer.words()[2]: peer for peer in peers}
+        by_id[b"%016x" % 2].send(GOOD.replace(b"value", b"later"))
+        assert agent.silent(0.3)
+        by_id[b"%016x" % 1].send(GOOD)
+        assert [agent.bulk(), agent.bulk(), agent.line()] == [b"value", b"later", b"+PONG"]
+
+
+@pytest.mark.parametrize(("cls", "reply", "answer"), [
+    ("look", b"-BUSY used=37", b"-BUSY"), ("book", b"-BUSY", b"-BUSY"),
+    ("look", b"-ERR failed used=3", b"-BUSY"), ("book", b"-ERR failed", b"-ERR failed"),
+    ("book", b"+odd", b"-ERR failed"), ("book", b"!?", b"-ERR failed"),
+    ("book", b"*1\r\n$-1", b"-ERR failed"), ("book", b"$99999999", b"-ERR failed"),
+    ("book", b"*2\r\n$1\r\nv\r\n$8\r\nused=xyz", b"$1")])
+def test_what_servers_say_becomes_one_lawful_answer(tmp_path: Path, cls: str, reply: bytes,
+                                                    answer: bytes) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(request(1, cls))
+        server = limiter.servers[0].accept()
+        server.words()
+        server.send(reply + b"\r\n")
+        assert agent.line().startswith(answer)
+
+
+def test_a_break_after_the_last_byte_is_no_connect_failure_and_is_not_replayed(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(request(1, "book"))
+        server = limiter.servers[0].accept()
+        server.words()
+        server.close()
+        assert agent.line() == b"-ERR failed"   # it may have run: no refusal
+        assert limiter.servers[0].quiet(0.3)
+
+
+def test_a_refused_connection_proves_that_nothing_ran(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        limiter.servers[0].sock.close()
+        agent = limiter.connect()
+        agent.send(request(1, "book"))
+        assert agent.line().startswith(b"-BUSY")
+
+
+def test_an_unanswered_request_gets_its_answer_by_the_deadline_and_the_pass_is_ended(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        begun = time.monotonic()
+        agent.send(request(1, "book", wait=400))
+        server = limiter.servers[0].accept()
+        server.words()
+        assert agent.line() == b"-ERR failed"
+        assert time.monotonic() - begun > 0.3
+        assert server.ended()
+
+
+def test_a_user_agent_that_leaves_takes_all_its_passes_along(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(request(1) + request(2))
+        servers = [limiter.servers[0].accept(), limiter.servers[0].accept()]
+        for server in servers:
+            server.words()
+        agent.close()
+        assert all(server.ended() for server in servers)
+        limiter.until(b"+PONG", command(b"PING"))
+
+
+@pytest.mark.parametrize("bad", [
+    request(1).replace(b"c=look", b"c=none"), request(1).replace(b"t=basic", b"t=other"),
+    request(1).replace(b"d=3000", b"d=3e99"), request(1).replace(b"units=1", b"units=0"),
+    request(1).replace(b"first=0", b"first=7"), request(1).replace(b"d=3000", b"x=3000"),
+    request(1, "book").replace(b",k=", b",j="), request(1).replace(b"00000000b4", b"zz000000b4"),
+    request(1).replace(b"SVC.QUERY", b"SVC.QUEUE"), command(b"SVC.QUERY", b"1"), command(b"HELLO", b"3"),
+    request(1, "book").replace(b"c=book", b"c=look"), command(b"SVC.SUBMIT", b"\xff", b"\r\n", b"", b"")])
+def test_bad_commands_get_one_error_line_and_the_connection_goes_on(tmp_path: Path, bad: bytes) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(bad + command(b"PING"))
+        assert agent.line().startswith(b"-ERR ")
+        assert agent.line() == b"+PONG"
+
+
+@pytest.mark.parametrize("bad", [b"GET / HTTP/1.1\r\n\r\n", b"*1\r\n$70000\r\n", b"*99\r\n", b"*1\r\n:1\r\n",
+                                 b"*1\r\n$-1\r\n", b"*2\r\n*1\r\n$1\r\na\r\n", b"*1\r\n$1\r\nabc\r\n",
+                                 b"+" + b"x" * 5000, b"*1_0\r\n"])
+def test_lost_framing_gets_one_error_line_and_a_close(tmp_path: Path, bad: bytes) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.send(command(b"PING") + bad)
+        assert agent.line() == b"+PONG"
+        assert agent.line().startswith(b"-ERR Protocol error")
+        assert agent.ended()
+        limiter.until(b"+PONG", command(b"PING"))
+
+
+def test_a_user_agent_that_takes_no_answers_is_not_read_from(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent, sent = limiter.connect(), 0
+        agent.sock.setblocking(False)
+        echo = command(b"PING", b"x" * 60000)
+        while select.select([], [agent.sock], [], 1.0)[1]:   # ends only if the limiter stops reading
+            sent += agent.sock.send(echo[sent % len(echo):])
+            assert sent < 64 * 2**20
+        limiter.until(b"+PONG", command(b"PING"))
+
+
+def test_more_than_the_open_cap_are_turned_away(tmp_path: Path) -> None:
+    caps = {"cancel": True, "open-cap": 1, "dial-timeout": 0.25}
+    with Limiter(tmp_path, caps=caps) as limiter:
+        agent, other = limiter.connect(), limiter.connect()
+        agent.send(request(1))
+        server = limiter.servers[0].accept()
+        server.words()
+        other.send(request(2))
+        assert other.line().startswith(b"-BUSY ")
+        server.send(GOOD)
+        assert agent.bulk() == b"value"
+
+
+def test_a_draining_server_gets_nothing_new_and_finishes_what_it_has(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        watch, asked = limiter.watch()
+        assert asked == b"GET /api/targets?stream=1&index=41 HTTP/1.1"
+        agent = limiter.connect()
+        agent.send(request(1))
+        server = limiter.servers[0].accept()
+        server.words()
+        limiter.tell(watch, 42, limiter.entry(0, "leaving"))
+        number = iter(range(100, 100000))
+        # Until the change is read a request may still go out; from then on each is refused at once.
+        limiter.until(b"-BUSY", request(next(number), wait=100))
+        server.send(GOOD)
+        assert agent.bulk() == b"value"
+        assert server.ended()
+        limiter.tell(watch, 43, limiter.entry(0))
+        agent.send(request(3))
+        while agent.silent(0.05):   # connections of the requests before may lie in line
+            peer = limiter.servers[0].accept()
+            if peer.line():
+                peer.send(GOOD)
+        assert agent.line() in (b"$5", b"-BUSY")
+
+
+def test_ping_waits_for_a_list_and_a_broken_watch_goes_on_from_its_last_version(tmp_path: Path) -> None:
+    with Limiter(tmp_path, known=False) as limiter:
+        agent = limiter.connect()
+        agent.send(command(b"PING"))
+        assert agent.line().startswith(b"-LOADING")
+        watch, _ = limiter.watch()
+        limiter.tell(watch, 44, limiter.entry(0))
+        limiter.until(b"+PONG", command(b"PING"))
+        watch.send(b"4\r\n{[]\n\r\n")               # not JSON: the list stands
+        again, asked = limiter.watch()
+        assert asked == b"GET /api/targets?stream=1&index=44 HTTP/1.1"
+        again.send(b"zz\r\n")                       # not even a chunk
+        third, asked = limiter.watch()
+        assert b"index=44 " in asked
+        third.close()
+        limiter.until(b"+PONG", command(b"PING"))
+
+
+def test_demand_is_told_to_the_counter(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        peers = [limiter.counter.accept() for _ in range(3)]
+        agent = limiter.connect()
+        agent.send(request(1))
+        limiter.servers[0].accept().send(GOOD)
+        ready = select.select([peer.sock for peer in peers], [], [], PATIENCE)[0]
+        verb, name, amount, life = next(peer for peer in peers if peer.sock in ready).words()
+        assert (verb, amount, life) == (b"INCRTTL", b"1.000000", b"20000")
+        assert name.isdigit()
+
+
+def test_sigterm_serves_on_for_a_moment_and_finishes_what_was_taken(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        idle, agent = limiter.connect(), limiter.connect()
+        agent.send(request(1))
+        server = limiter.servers[0].accept()
+        server.words()
+        begun = time.monotonic()
+        limiter.terminate()
+        limiter.log("phase: draining")              # a paced log line would be missing so soon after the last
+        limiter.until(b"+PONG", command(b"PING"))   # new connections are still taken
+        assert idle.ended()                          # closed as it lies idle, but not at once
+        assert time.monotonic() - begun > 0.5
+        assert limiter.process.poll() is None
+        server.send(GOOD)
+        assert agent.bulk() == b"value"
+        assert agent.ended()
+        assert limiter.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize("text", [
+    "{", "[]", "{}", None, '{"listen": "here", "discovery": "127.0.0.1:1", "settings": {}}',
+    '{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": '
+    '{"azs": ["a"], "classes": [{"name": "x"}]}}'])
+def test_a_bad_configuration_is_one_line_and_a_failure(tmp_path: Path, text: str | None) -> None:
+    path = tmp_path / "config.json"
+    if text is not None:
+        path.write_text(text)
+    done = subprocess.run([sys.executable, "-m", "thymeflow"], cwd=ROOT, text=True, capture_output=True,
+                          timeout=PATIENCE, env={**os.environ, "BALANCER_CONFIG": str(path)})
+    assert done.returncode == 2
+    assert done.stderr.startswith("thymeflow: bad configuration: ")
+    assert done.stderr.count("\n") == 1
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -63,10 +63,10 @@
     settings: api.Settings
 
 
-def address(text: Any) -> Address:
-    """An address written host:port."""
+def address(text: Any, least: int = 1) -> Address:
+    """An address written host:port; `least` 0 lets the system choose a port to listen on."""
     host, _, port = text.rpartition(":") if isinstance(text, str) else ("", "", "")
-    if not host or not port.isascii() or not port.isdigit() or not 0 < int(port) < 65536:
+    if not host or not port.isascii() or not port.isdigit() or not least <= int(port) < 65536:
         raise ValueError(f"{text!r} is no address")
     return Address(host.strip("[]"), int(port))
 
@@ -112,16 +112,19 @@
         sockets = int(limits.get("sockets", 1024))
         if sockets < FEWEST_SOCKETS:
             raise ValueError(f"limits.sockets: {sockets} is under {FEWEST_SOCKETS}")
+        settings = settings_from(source["settings"])
+        if settings.information.counter and not source.get("counter"):
+            raise ValueError("counter is missing, though the settings allow calls")
         empty = {"generation": 0, "reset": True, "instances": []}
         return Config(
             name=str(source.get("name") or environment.get("BALANCER_NAME", "limiter")),
-            listen=address(source.get("listen") or environment.get("BALANCER_LISTEN")),
+            listen=address(source.get("listen") or environment.get("BALANCER_LISTEN"), 0),
             discovery=address(source.get("discovery") or environment.get("BALANCER_DISCOVERY")),
             counter=address(source["counter"]) if source.get("counter") else None,
             seed=int(str(source.get("seed", "0")), 16), sockets=sockets,
             memory=int(float(limits.get("memory_mb", 192)) * 2**20),
             known=listed(source.get("known") or empty, cached=True),
-            settings=settings_from(source["settings"]))
+            settings=settings)
     except KeyError as fault:
         raise ConfigError(f"{path}: {fault} is missing") from None
     except (ValueError, TypeError, AttributeError, OverflowError) as fault:
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -37,7 +37,7 @@
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
-        log.say("phase", phase.value)
+        log.note("phase", phase.value)
 
     def listed(self) -> None:
         """A list with application servers is known."""
@@ -47,6 +47,8 @@
     def listening(self, port: Any) -> None:
         """User agents can connect."""
         self._port = port
+        where = port.getHost()
+        log.note("listening", f"{where.host}:{where.port}")
         self._ready()
 
     def _ready(self) -> None:
--- a/thymeflow/net/log.py
+++ b/thymeflow/net/log.py
@@ -29,6 +29,11 @@
     _log.info("%s: %s%s", kind, " ".join(text.split())[:300], more)
 
 
+def note(kind: str, text: str) -> None:
+    """Write `kind: text` whatever came before: for what happens a few times in a life."""
+    _log.info("%s: %s", kind, text)
+
+
 def set_up(name: str) -> None:
     """Send all lines, Twisted's own included, to standard error under the limiter's name."""
     from twisted.python.log import PythonLoggingObserver
