Write to the kernel at once and dial without endpoints: a quarter less CPU a request

Lines at fault: Link.write, UserAgent._flush (transport.write) and dial (TCP4ClientEndpoint). Conclusion: Stream.write gives the kernel what it takes and leaves only the rest to the transport.

Tests of the orders of events that sockets can't force (waiting passes at a drain, unflushed breaks, late counter answers) run on Twisted's reactor in memory.

--- /dev/null
+++ b/tests/test_net_parts.py
@@ -0,0 +1,219 @@
+"""Orders of events that no socket can force, driven with a reactor in memory; and the parsers."""
+
+from __future__ import annotations
+
+import contextlib
+from typing import Any
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+
+from tests.limiter import command, request
+from thymeflow import interface as i
+from thymeflow.drill import settings_from
+from thymeflow.net import clock, resp
+from thymeflow.net.call import Reader
+from thymeflow.net.config import Address, Listed, listed
+from thymeflow.net.core import Order, Outcome
+from thymeflow.net.counter import DEAD, Line
+from thymeflow.net.discovery import Body, HttpError
+from thymeflow.net.table import Table
+from thymeflow.net.upstream import Upstream
+
+
+class Handle:
+    """A socket that takes bytes only while it is told to."""
+
+    def __init__(self, transport: Any) -> None:
+        self.transport, self.open = transport, True
+
+    def send(self, data: bytes) -> int:
+        if not self.open:
+            raise BlockingIOError
+        self.transport.write(data)
+        return len(data)
+
+    def shutdown(self, how: int) -> None: ...
+
+
+class World:
+    """A reactor in memory under a clock that the test moves."""
+
+    def __init__(self, monkeypatch: pytest.MonkeyPatch) -> None:
+        self.reactor: Any = MemoryReactorClock()   # type: ignore[no-untyped-call]
+        monkeypatch.setattr(clock, "now", lambda: 1e9 + self.reactor.seconds())
+        self.deadlines = clock.Deadlines(self.reactor)
+
+    def up(self, number: int) -> Any:
+        """The dial of that number succeeds; the protocol, with the handle of its socket."""
+        *_, factory, _, _ = self.reactor.tcpClients[number]
+        protocol = factory.buildProtocol(None)
+        transport: Any = StringTransport()   # type: ignore[no-untyped-call]
+        transport.handle = Handle(transport)
+        transport.getHandle = lambda: transport.handle
+        transport.setTcpNoDelay = lambda on: None
+        transport.registerProducer = lambda producer, streaming: None
+        protocol.makeConnection(transport)
+        return protocol
+
+
+@pytest.fixture
+def world(monkeypatch: pytest.MonkeyPatch) -> World:
+    return World(monkeypatch)
+
+
+def words(text: bytes) -> list[bytes]:
+    (found,) = resp.Parser().feed(text)
+    assert isinstance(found, list)
+    return [word for word in found if isinstance(word, bytes)]
+
+
+def order() -> Order:
+    from tests.limiter import SETTINGS
+    call, _ = Reader(settings_from(SETTINGS)).read(words(request(1)))
+    return Order(1, call, clock.now() + 3.0)
+
+
+def upstream(world: World) -> tuple[Upstream, list[Outcome]]:
+    made = Upstream(world.reactor, world.deadlines, i.Limits(), 10)
+    made.listed(change("active", reset=True))
+    return made, []
+
+
+def change(lifecycle: str, reset: bool = False) -> Listed:
+    entry = {"instanceId": "s-00000001", "hostPort": "127.0.0.1:9", "lifecycle": lifecycle}
+    return listed({"generation": 1, "reset": reset, "instances": [entry]})
+
+
+@pytest.mark.parametrize("news", ["leaving", "left"])
+def test_a_pass_that_waits_for_a_connection_is_not_written_to_a_server_that_drains(world: World,
+                                                                                   news: str) -> None:
+    made, ends = upstream(world)
+    made.begin(order()).addCallback(ends.append)
+    made.listed(change(news))
+    assert [end.status for end in ends] == [i.Status.CONNECT_FAILED]
+    assert world.up(0).transport.value() == b""
+    made.begin(order()).addCallback(ends.append)
+    assert ends[1].status is i.Status.CONNECT_FAILED
+
+
+@pytest.mark.parametrize(("whole", "status"), [(True, i.Status.RESET), (False, i.Status.CONNECT_FAILED)])
+def test_only_a_pass_written_to_its_last_byte_may_have_run(world: World, whole: bool,
+                                                            status: i.Status) -> None:
+    made, ends = upstream(world)
+    made.begin(order()).addCallback(ends.append)
+    server = world.up(0)
+    server.message([b"v", None, None])           # the connection is warm and idle now
+    made.begin(order()).addCallback(ends.append)
+    server.message([b"v", None, None])
+    server.transport.handle.open = whole         # the kernel takes nothing: bytes stay with us
+    made.begin(order()).addCallback(ends.append)
+    server.connectionLost()
+    assert [end.status for end in ends] == [i.Status.OK, i.Status.OK, status]
+    assert len(world.reactor.tcpClients) == 1    # and nothing was sent again
+
+
+def test_a_connection_that_comes_free_serves_the_pass_that_waits(world: World) -> None:
+    made, ends = upstream(world)
+    made.begin(order()).addCallback(ends.append)
+    server = world.up(0)
+    made.begin(order()).addCallback(ends.append)
+    server.message([b"v", None, None])
+    server.message([b"w", None, None])
+    assert [end.value for end in ends] == [b"v", b"w"]
+
+
+def test_idle_connections_go_before_the_other_end_closes_them(world: World) -> None:
+    made, ends = upstream(world)
+    made.begin(order()).addCallback(ends.append)
+    server = world.up(0)
+    server.message([b"v", None, None])
+    world.reactor.pump([1.0] * int(i.Limits().connection_idle - 1))
+    assert server.closed
+
+
+def test_a_counter_call_given_up_keeps_its_place_in_line(world: World) -> None:
+    line = Line(world.reactor, world.deadlines, Address("127.0.0.1", 9))
+    results: list[tuple[i.Status, float]] = []
+    line.connect()
+    wire = world.up(0)
+    line.call(b"first", clock.now() + 0.03).addCallback(results.append)
+    world.reactor.advance(0.04)
+    line.call(b"second", clock.now() + 0.03).addCallback(results.append)
+    wire.message(b"7")       # late, and nobody's any more
+    assert results == [(i.Status.TIMEOUT, 0.0)]
+    wire.message(b"9.5")
+    assert results[1] == (i.Status.OK, 9.5)
+
+
+def test_a_broken_counter_line_tells_what_may_have_been_added(world: World) -> None:
+    line, results = Line(world.reactor, world.deadlines, Address("127.0.0.1", 9)), list[i.Status]()
+    line.call(b"unwritten", clock.now() + 0.03).addCallback(lambda r: results.append(r[0]))
+    world.reactor.advance(0.04)
+    assert results == [i.Status.CONNECT_FAILED]
+    wire = world.up(0)
+    line.call(b"left", clock.now() + 3.0).addCallback(lambda r: results.append(r[0]))
+    wire.transport.handle.open = False
+    line.call(b"held", clock.now() + 3.0).addCallback(lambda r: results.append(r[0]))
+    wire.connectionLost()
+    assert results[1:] == [i.Status.TIMEOUT, i.Status.CONNECT_FAILED]
+
+
+def test_a_counter_that_has_gone_without_a_word_is_dialled_anew(world: World) -> None:
+    line = Line(world.reactor, world.deadlines, Address("127.0.0.1", 9))
+    line.connect()
+    wire = world.up(0)
+    for _ in range(int(DEAD / 0.05) + 2):
+        line.call(b"x", clock.now() + 0.03)
+        world.reactor.advance(0.05)
+    assert wire.closed
+    line.call(b"x", clock.now() + 0.03)
+    assert len(world.reactor.tcpClients) == 2
+
+
+def test_deadlines_fire_in_order_behind_one_timer_and_not_when_cancelled(world: World) -> None:
+    fired: list[int] = []
+    entries = [world.deadlines.at(clock.now() + n, fired.append, n) for n in (5, 1, 3, 2, 4)]
+    assert len(world.reactor.getDelayedCalls()) == 1
+    world.deadlines.cancel(entries[2])
+    world.reactor.pump([1.0] * 6)
+    assert fired == [1, 2, 4, 5]
+    assert not world.reactor.getDelayedCalls()
+
+
+def test_the_handle_of_what_has_ended_finds_nothing_in_a_slot_used_again() -> None:
+    table: Table[str] = Table(1)
+    old = table.add("old")
+    assert (table.full(), table.remove(old)) == (True, "old")
+    new = table.add("new")
+    assert (table.get(old), table.remove(old), table.get(new)) == (None, None, "new")
+
+
+@given(st.lists(st.binary(max_size=40), min_size=1, max_size=5), st.data())
+def test_messages_are_found_however_the_bytes_are_cut(parts: list[bytes], data: st.DataObject) -> None:
+    text = command(*parts) + resp.bulk(b"x") + b"-ERR e\r\n:-5\r\n$-1\r\n"
+    parser, found, place = resp.Parser(), list[resp.Value](), 0
+    while place < len(text):
+        step = data.draw(st.integers(1, 30))
+        found += parser.feed(text[place:place + step])
+        place += step
+    assert found == [parts, b"x", resp.Problem(b"ERR e"), -5, None]
+
+
+@given(st.binary(max_size=200))
+def test_any_bytes_are_messages_or_a_protocol_error(text: bytes) -> None:
+    for maker, fault in ((resp.Parser, resp.ProtocolError), (Body, HttpError)):
+        for start in (b"", b"*2\r\n$1\r\nx\r\n", b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"):
+            with contextlib.suppress(fault):
+                maker().feed(start + text)
+
+
+def test_a_chunked_body_gives_its_lines_wherever_chunks_end() -> None:
+    text = b"HTTP/1.1 200 OK\r\ntransfer-encoding: Chunked\r\n\r\n"
+    text += b"3\r\nab\n\r\n4;x=y\r\n\nc\r\n\r\n1\r\nd\r\n0\r\n\r\n"
+    body, lines = Body(), list[bytes]()
+    for place in range(len(text)):
+        lines += body.feed(text[place:place + 1])
+    assert (lines, body.done) == ([b"ab", b"", b"c", b"d"], True)
--- a/thymeflow/net/counter.py
+++ b/thymeflow/net/counter.py
@@ -46,7 +46,7 @@
     def resumeProducing(self) -> None:
         """All that was written has left."""
         super().resumeProducing()
-        self.line.left = len(self.line.written)
+        self.line.all_left()
 
     def message(self, value: resp.Value) -> None:
         """The answer to the oldest call."""
@@ -123,6 +123,12 @@
         assert self._wire is not None
         self.written.append(waiting)
         self._wire.write(waiting.data)
+        if self._wire.flushed:
+            self.all_left()
+
+    def all_left(self) -> None:
+        """What was written has gone to the kernel."""
+        self.left = len(self.written)
 
     def _late(self, waiting: Waiting) -> None:
         now = clock.now()
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -10,12 +10,12 @@
 from collections.abc import Callable
 from typing import Any
 
-from twisted.internet.protocol import Protocol, connectionDone
+from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
 from thymeflow.net import clock, log
 from thymeflow.net.config import Address, Listed, listed
-from thymeflow.net.link import dial
+from thymeflow.net.link import Stream, dial
 
 SILENCE = 6.0               # s: empty lines come every 2 s, so this long without one is a break
 CONNECT = 1.0               # s: to connect
@@ -123,11 +123,9 @@
         return True
 
 
-class Reading(Protocol):
+class Reading(Stream):
     """One GET and its answer."""
 
-    transport: Any
-
     def __init__(self, path: str, host: Address, line: Callable[[bytes], None],
                  ended: Callable[[str], None]) -> None:
         self._path, self._host, self._line, self._ended = path, host, line, ended
@@ -135,9 +133,9 @@
 
     def connectionMade(self) -> None:
         """Ask."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.write(f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
-                             "Accept: application/json\r\n\r\n".encode())
+        super().connectionMade()
+        self.write(f"GET {self._path} HTTP/1.1\r\nHost: {self._host}\r\n"
+                   "Accept: application/json\r\n\r\n".encode())
 
     def dataReceived(self, data: bytes) -> None:
         """Pass the lines on as they are complete."""
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -10,15 +10,14 @@
 from typing import Any
 
 from twisted.internet.defer import Deferred
-from twisted.internet.interfaces import IPushProducer
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import Factory, connectionDone
 from twisted.python.failure import Failure
-from zope.interface import implementer
 
 from thymeflow import interface as api
 from thymeflow.net import clock, log, resp
 from thymeflow.net.call import QUERY, SUBMIT, CallError, Reader
 from thymeflow.net.core import Answer, Core, Offer, Verdict
+from thymeflow.net.link import Stream
 from thymeflow.net.table import Table
 
 MOST_PLACES = 64       # commands of one user agent that are not answered; then it is not read from
@@ -45,40 +44,29 @@
     return b"-BUSY %d\r\n" % -int(-answer.wait * 1000.0 // 1) if answer.wait > 0.0 else b"-BUSY\r\n"
 
 
-@implementer(IPushProducer)
-class UserAgent(Protocol):
+class UserAgent(Stream):
     """One connection."""
 
-    transport: Any
-
     def __init__(self, front: Front) -> None:
         self._front, self._parser = front, resp.Parser()
         self._places: deque[Place] = deque()
         self._handle = -1
-        self._reading, self._choked = True, False   # what we told the transport; it is slow to take answers
-        self._last = False                          # close once all is answered
+        self._reading = True        # what we told the transport
+        self._last = False          # close once all is answered
 
     def connectionMade(self) -> None:
         """Take a slot."""
-        self.transport.setTcpNoDelay(True)
-        self.transport.registerProducer(self, True)
         self._handle = self._front.agents.add(self)
-
-    def pauseProducing(self) -> None:
-        """The user agent takes no answers, so nothing more is taken from it."""
-        self._choked = True
-        self._pace()
+        super().connectionMade()
 
     def resumeProducing(self) -> None:
-        """It takes them again."""
-        self._choked = False
+        """It takes its answers."""
+        super().resumeProducing()
         self._pace()
 
-    def stopProducing(self) -> None:
-        """The transport will write no more; `connectionLost` says the rest."""
-
     def _pace(self) -> None:
-        wanted = not self._choked and not self._last and len(self._places) < MOST_PLACES
+        # From a user agent that does not take its answers, nothing more is taken.
+        wanted = self.flushed and not self._last and len(self._places) < MOST_PLACES
         if wanted != self._reading:
             self._reading = wanted
             if wanted:
@@ -156,7 +144,7 @@
         while self._places and self._places[0].answer is not None:
             ready.append(self._places.popleft().answer or b"")
         if ready:
-            self.transport.write(b"".join(ready))
+            self.write(b"".join(ready))
         if self._last and not self._places:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
--- a/thymeflow/net/link.py
+++ b/thymeflow/net/link.py
@@ -1,7 +1,10 @@
-"""Connections that the limiter opens: dialled by an absolute deadline, and aware of what has left.
+"""Streams of bytes that know what has left, and the connections that the limiter opens.
 
 Whether a message's last byte was written decides if it may have had an effect. A pull producer is
 asked for more exactly when the transport's buffer has gone to the kernel, which tells just that.
+
+What can go at once is given to the kernel at once. By way of the reactor each message would cost a
+second turn with two changes of the poll set, which was a quarter of the CPU of a request.
 """
 
 from __future__ import annotations
@@ -12,9 +15,8 @@
 from typing import Any, TypeVar
 
 from twisted.internet.defer import Deferred
-from twisted.internet.endpoints import TCP4ClientEndpoint
 from twisted.internet.interfaces import IPullProducer
-from twisted.internet.protocol import Factory, Protocol, connectionDone
+from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
 from twisted.python.failure import Failure
 from zope.interface import implementer
 
@@ -22,24 +24,22 @@
 from thymeflow.net.clock import Deadlines
 from thymeflow.net.config import Address
 
-L = TypeVar("L", bound=Protocol)
-
 
 @implementer(IPullProducer)
-class Link(Protocol):
-    """A connection on which we ask in RESP2; subclasses take the messages and the end."""
+class Stream(Protocol):
+    """A connection, made by us or to us."""
 
     transport: Any
     flushed = True   # all that was written has gone to the kernel
-    closed = False   # ended, or given up by us
-
-    def __init__(self) -> None:
-        self._parser = resp.Parser()
+    connected_to: Callable[[Any], None] | None = None   # who waits for the connection to be up
 
     def connectionMade(self) -> None:
         """Small messages leave at once; see the module's text for the producer."""
         self.transport.setTcpNoDelay(True)
         self.transport.registerProducer(self, False)
+        if self.connected_to is not None:
+            waits, self.connected_to = self.connected_to, None
+            waits(self)
 
     def resumeProducing(self) -> None:
         """The buffer has gone to the kernel."""
@@ -50,9 +50,27 @@
 
     def write(self, data: bytes) -> None:
         """Write behind what was written."""
-        self.flushed = False
+        if self.flushed:
+            sent = 0
+            with contextlib.suppress(OSError):   # what is broken shows when the transport tries the rest
+                sent = self.transport.getHandle().send(data)
+            if sent == len(data):
+                return
+            data, self.flushed = data[sent:], False
         self.transport.write(data)
 
+
+S = TypeVar("S", bound=Stream)
+
+
+class Link(Stream):
+    """A connection on which we ask in RESP2; subclasses take the messages and the end."""
+
+    closed = False   # ended, or given up by us
+
+    def __init__(self) -> None:
+        self._parser = resp.Parser()
+
     def dataReceived(self, data: bytes) -> None:
         """Cut what came into messages."""
         found: list[resp.Value] = []
@@ -97,17 +115,34 @@
         raise NotImplementedError
 
 
+class _Dialler(ClientFactory):
+    """Builds the one protocol, and says how the connecting ended."""
+
+    noisy = False
+
+    def __init__(self, build: Callable[[], Stream], settled: Deferred[Any]) -> None:
+        self._build, self._settled = build, settled
+
+    def buildProtocol(self, addr: Any) -> Stream:
+        """The connection is up; it is told of once the protocol has its transport."""
+        made = self._build()
+        made.connected_to = self._settled.callback
+        return made
+
+    def clientConnectionFailed(self, connector: Any, reason: Failure) -> None:
+        """Refused, or given up at the deadline."""
+        self._settled.errback(reason)
+
+
 def dial(reactor: Any, deadlines: Deadlines, address: Address, deadline: float,
-         build: Callable[[], L]) -> Deferred[L]:
+         build: Callable[[], S]) -> Deferred[S]:
     """Connect; fails if refused or not up by the deadline, on the one heap and not a timer of its own."""
-    factory: Any = Factory.forProtocol(build)
-    factory.noisy = False
-    endpoint = TCP4ClientEndpoint(reactor, address.host, address.port, timeout=None)   # type: ignore[arg-type]
-    attempt: Deferred[Any] = endpoint.connect(factory)
-    entry = deadlines.at(deadline, lambda _: attempt.cancel())
+    settled: Deferred[Any] = Deferred()
+    connector = reactor.connectTCP(address.host, address.port, _Dialler(build, settled), timeout=None)
+    entry = deadlines.at(deadline, lambda _: connector.stopConnecting())
 
-    def settled(result: Any) -> Any:
+    def done(result: Any) -> Any:
         deadlines.cancel(entry)
         return result
 
-    return attempt.addBoth(settled)
+    return settled.addBoth(done)
