Advise one tick after failed passes; bound the answers that user agents do not take

Seen: a refusal after failed proxy passes was a plain -BUSY (policy.finish), so the client was not told when to come back. The quota is not at fault there, so the advice is one tick.

Answers held behind a user agent's own slow request could come to 64 x 64 KiB for one connection, over all connections more than the memory limit.

--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -51,8 +51,8 @@
 
 
 @pytest.mark.parametrize(("cls", "reply", "answer"), [
-    ("look", b"-BUSY used=37", b"-BUSY"), ("book", b"-BUSY", b"-BUSY"),
-    ("look", b"-ERR failed used=3", b"-BUSY"), ("book", b"-ERR failed", b"-ERR failed"),
+    ("look", b"-BUSY used=37", b"-BUSY 100"), ("book", b"-BUSY", b"-BUSY 100"),
+    ("look", b"-ERR failed used=3", b"-BUSY 100"), ("book", b"-ERR failed", b"-ERR failed"),
     ("book", b"+odd", b"-ERR failed"), ("book", b"!?", b"-ERR failed"),
     ("book", b"*1\r\n$-1", b"-ERR failed"), ("book", b"$99999999", b"-ERR failed"),
     ("book", b"*2\r\n$1\r\nv\r\n$8\r\nused=xyz", b"$1")])
@@ -83,7 +83,7 @@
         limiter.servers[0].sock.close()
         agent = limiter.connect()
         agent.send(request(1, "book"))
-        assert agent.line().startswith(b"-BUSY")
+        assert agent.line() == b"-BUSY 100"   # and when to come back
 
 
 def test_an_unanswered_request_gets_its_answer_by_the_deadline_and_the_pass_is_ended(tmp_path: Path) -> None:
@@ -149,6 +149,25 @@
         limiter.until(b"+PONG", command(b"PING"))
 
 
+def test_answers_that_wait_for_earlier_ones_are_bounded(tmp_path: Path) -> None:
+    # Guards the memory limit: each of these answers is lawful, and all are held behind the first one.
+    with Limiter(tmp_path, memory=1) as limiter:
+        agent = limiter.connect()
+        agent.send(request(1))
+        slow = limiter.servers[0].accept()
+        slow.words()
+        agent.send(request(2))
+        server = limiter.servers[0].accept()
+        for number in (3, 4, 0):
+            server.words()
+            server.send(b"*3\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$-1\r\n$-1\r\n")
+            if number:
+                agent.send(request(number))
+        assert agent.ended()
+        limiter.log("backlog:")
+        limiter.until(b"+PONG", command(b"PING"))
+
+
 def test_more_than_the_open_cap_are_turned_away(tmp_path: Path) -> None:
     caps = {"cancel": True, "open-cap": 1, "dial-timeout": 0.25}
     with Limiter(tmp_path, caps=caps) as limiter:
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -215,5 +215,9 @@
         def failed(_: Any) -> None:
             log.say("discovery", f"no list from {self._address}")
 
-        dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
-             lambda: Reading("/api/targets", self._address, self._line, lambda _: None)).addErrback(failed)
+        def reading(made: Reading) -> None:
+            self._deadlines.at(clock.now() + SILENCE, lambda _: made.end("late"))
+
+        attempt = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
+                       lambda: Reading("/api/targets", self._address, self._line, lambda _: None))
+        attempt.addCallbacks(reading, failed)
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -53,6 +53,7 @@
         self._handle = -1
         self._reading = True        # what we told the transport
         self._last = False          # close once all is answered
+        self._held = 0              # bytes of answers that wait for earlier ones, or for the user agent
 
     def connectionMade(self) -> None:
         """Take a slot."""
@@ -62,8 +63,17 @@
     def resumeProducing(self) -> None:
         """It takes its answers."""
         super().resumeProducing()
+        self._taken()
         self._pace()
 
+    def _hold(self, change: int) -> None:
+        self._held += change
+        self._front.held += change
+
+    def _taken(self) -> None:
+        # All that was written has left, so only answers that wait for earlier ones are held.
+        self._hold(sum(len(place.answer or b"") for place in self._places) - self._held)
+
     def _pace(self) -> None:
         # From a user agent that does not take its answers, nothing more is taken.
         wanted = self.flushed and not self._last and len(self._places) < MOST_PLACES
@@ -136,8 +146,14 @@
 
     def _answered(self, answer: Answer, place: Place) -> None:
         place.answer = written(answer)
+        self._hold(len(place.answer))
         if self._places and self._places[0] is place:
             self._flush()
+        if self._front.held > self._front.most_held:
+            # Guards the memory limit, past which the whole limiter would be killed: one user agent that
+            # asks behind its own slow request, or takes no answers, is let go instead.
+            log.say("backlog", f"{self._front.held} bytes of answers are held; a connection was closed")
+            self.transport.abortConnection()
 
     def _flush(self) -> None:
         ready: list[bytes] = []
@@ -145,6 +161,8 @@
             ready.append(self._places.popleft().answer or b"")
         if ready:
             self.write(b"".join(ready))
+            if self.flushed:
+                self._taken()
         if self._last and not self._places:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
@@ -162,6 +180,7 @@
         """The user agent has left; none of its requests is owed an answer any more."""
         self._last = True
         places, self._places = self._places, deque()
+        self._hold(-self._held)
         self._front.agents.remove(self._handle)
         for place in places:
             if place.due is not None and place.answer is None:
@@ -174,8 +193,9 @@
 
     noisy = False
 
-    def __init__(self, core: Core, settings: api.Settings, most: int) -> None:
+    def __init__(self, core: Core, settings: api.Settings, most: int, memory: int) -> None:
         self.core, self.reader = core, Reader(settings)
+        self.held, self.most_held = 0, memory   # bytes of answers not taken yet; closing begins beyond
         self.agents: Table[UserAgent] = Table(most)
         self._closing = False
         self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -305,7 +305,8 @@
     def finish(self, job: Work, answer: bool) -> None:   # one answer; the rest is called off
         if answer:
             harmless = not job.ran() or job.cls.effect is api.Effect.SAFE
-            again = api.Refuse(job.request.id, self.advice(job.store, job.request.units))
+            # Its units are charged and back ends failed it, not its quota: it may come back soon.
+            again = api.Refuse(job.request.id, TICK if self.limits.retry_after else 0.0)
             self.actions.append(again if harmless else api.Fail(job.request.id))
         if not job.done and self.limits.cancel and not job.streaming:
             self.actions.extend(api.Cancel(job.request.id, n) for n in job.out())
