--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -254,6 +254,16 @@
         assert limiter.process.wait(PATIENCE) == 0
 
 
+def test_an_address_that_is_taken_is_one_line_and_a_failure(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        path = tmp_path / "config.json"
+        path.write_text(path.read_text().replace("127.0.0.1:0", f"127.0.0.1:{limiter.port}"))
+        done = subprocess.run([sys.executable, "-m", "thymeflow"], cwd=ROOT, text=True, capture_output=True,
+                              timeout=PATIENCE, env={**os.environ, "BALANCER_CONFIG": str(path)})
+    assert (done.returncode, done.stderr.count("\n")) == (3, 1)
+    assert done.stderr.startswith("thymeflow: cannot listen: ")
+
+
 @pytest.mark.parametrize("text", [
     "{", "[]", "{}", None, '{"listen": "here", "discovery": "127.0.0.1:1", "settings": {}}',
     '{"listen": "127.0.0.1:0", "discovery": "127.0.0.1:1", "settings": '
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -12,6 +12,7 @@
 import re
 from collections.abc import Mapping
 from dataclasses import dataclass
+from math import isfinite
 from pathlib import Path
 from typing import Any
 
@@ -71,7 +72,7 @@
     return Address(host.strip("[]"), int(port))
 
 
-def server_number(name: Any) -> int:
+def application_server_number(name: Any) -> int:
     """The number by which the module knows an application server: its id's digits, or else a digest."""
     if not isinstance(name, str) or not name:
         raise ValueError(f"{name!r} is no instance id")
@@ -84,11 +85,13 @@
     """A message in discovery's form; ValueError, KeyError or TypeError where it is not."""
     backends, addresses = [], {}
     for entry in message["instances"]:
-        number, state = server_number(entry["instanceId"]), STATES[entry["lifecycle"]]
+        number, state = application_server_number(entry["instanceId"]), STATES[entry["lifecycle"]]
+        weight, started = float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0))
+        if not (isfinite(weight) and weight >= 0.0 and isfinite(started)):
+            raise ValueError("weight or startedAtMs is no number")   # NaN would spread through the scores
         backends.append(api.Backend(
             number, str(entry.get("zone", "")), state, int(entry.get("cell", 0)),
-            str(entry.get("machineType", "")), float(entry.get("weight", 1.0)),
-            max(0, int(entry.get("startedAtMs", 0))) / 1000.0))
+            str(entry.get("machineType", "")), weight, max(0.0, started) / 1000.0))
         if state is not api.BackendState.GONE:
             addresses[number] = address(entry["hostPort"])
     whole = api.ListKind.CACHED if cached else api.ListKind.FULL
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -43,7 +43,7 @@
 
 @dataclass(frozen=True, slots=True)
 class Offer:
-    """A request as a front hands it in; `payload` is what the upstream will know how to pass on."""
+    """A transaction as a front hands it in; `payload` is what the upstream will know how to pass on."""
 
     request: api.Request
     deadline: float
@@ -92,7 +92,7 @@
 
 
 class Transaction:
-    """A request taken on, until it is answered and its last proxy pass has ended."""
+    """What was taken on, until it is answered and its last proxy pass has ended."""
 
     __slots__ = ("answered", "deadline", "due", "id", "offer", "out", "passes", "settled")
 
@@ -111,7 +111,7 @@
         self._gateway = Gateway(settings, seed)
         self._table: Table[Transaction] = Table(min(MOST_TRANSACTIONS, int(settings.limits.max_open) or 1))
         self._by_id: dict[str, int] = {}
-        self._memory, self._held = memory, 0     # bytes of requests that may be, and are, held
+        self._memory, self._held = memory, 0     # bytes of transactions that may be, and are, held
         self._events: deque[api.Event] = deque()
         self._busy = False
         self.upstream: Upstream
@@ -128,7 +128,7 @@
         return request in self._by_id
 
     def take(self, offer: Offer) -> Deferred[Answer]:
-        """Take a request on. Cancelling the Deferred says that the user agent has left."""
+        """Take a transaction on. Cancelling the Deferred says that the user agent has left."""
         due: Deferred[Answer] = Deferred(lambda _: self._left(handle))
         if self._table.full() or self._held + offer.size > self._memory:
             # Turned away before the module, as the open cap has it: nothing was sent on.
@@ -286,7 +286,7 @@
             self._drop(transaction)
 
     def _overdue(self, handle: int) -> None:
-        # Guards the rule that each request gets one final answer: the module should have given it.
+        # Guards the rule that each transaction gets one final answer: the module should have given it.
         transaction = self._table.get(handle)
         if transaction is not None and not transaction.answered:
             log.say("overdue", f"{transaction.id} had no answer from the module by its deadline")
--- a/thymeflow/net/counter.py
+++ b/thymeflow/net/counter.py
@@ -98,8 +98,8 @@
         if self._dialing or self._wire is not None or now < self._again:
             return
         self._dialing = True
-        attempt = dial(self._reactor, self._deadlines, self._address, now + CONNECT, lambda: Wire(self))
-        attempt.addCallbacks(self._up, self._down)
+        dialling = dial(self._reactor, self._deadlines, self._address, now + CONNECT, lambda: Wire(self))
+        dialling.addCallbacks(self._up, self._down)
 
     def _up(self, wire: Wire) -> None:
         self._dialing, self._heard = False, clock.now()
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -177,9 +177,9 @@
 
     def _watch(self, _: int) -> None:
         path = f"/api/targets?stream=1&index={self._version}"
-        attempt = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
+        dialling = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
                        lambda: Reading(path, self._address, self._line, self._broken))
-        attempt.addCallbacks(self._watched, lambda failure: self._broken(failure.getErrorMessage()))
+        dialling.addCallbacks(self._watched, lambda failure: self._broken(failure.getErrorMessage()))
 
     def _watched(self, reading: Reading) -> None:
         self._watching, self._heard = reading, clock.now()
@@ -201,7 +201,7 @@
             return
         try:
             change = listed(json.loads(line))
-        except (ValueError, KeyError, TypeError, AttributeError, OverflowError) as fault:
+        except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
             # The list stands. What this line held is asked for again, from the version before it.
             log.say("discovery", f"unreadable line: {fault!r}")
             if self._watching is not None:
@@ -218,6 +218,6 @@
         def reading(made: Reading) -> None:
             self._deadlines.at(clock.now() + SILENCE, lambda _: made.end("late"))
 
-        attempt = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
+        dialling = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
                        lambda: Reading("/api/targets", self._address, self._line, lambda _: None))
-        attempt.addCallbacks(reading, failed)
+        dialling.addCallbacks(reading, failed)
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -86,12 +86,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Begin each command as it is whole; the answers wait for their turn."""
-        found: list[resp.Value] = []
-        fault = ""
-        try:
-            self._parser.feed_into(data, found)
-        except resp.ProtocolError as problem:
-            fault = f"ERR Protocol error: {problem}"
+        found, fault = self._parser.feed(data)
         for value in found:
             if self._last:
                 return
@@ -99,19 +94,19 @@
                 if value:
                     self._command(value)   # type: ignore[arg-type]
             else:
-                fault = "ERR Protocol error: a command is an array of bulk strings"
+                fault = "a command is an array of bulk strings"
                 break
         if fault and not self._last:
             # Where the next command begins is not known any more: one line, then the end.
             log.say("user agent garbled", fault)
-            self._say(resp.problem(fault))
+            self._say(resp.problem(f"ERR Protocol error: {fault}"))
             self.finish()
         self._flush()
 
     def _command(self, words: list[bytes]) -> None:
         name = words[0].upper()
         if name in (QUERY, SUBMIT):
-            self._request(words)
+            self._transaction(words)
         elif name == b"PING" and len(words) <= 2:
             if not self._front.able():
                 self._say(b"-LOADING not able to serve yet\r\n")
@@ -125,7 +120,7 @@
         else:
             self._say(resp.problem(f"ERR unknown command '{name[:32].decode('ascii', 'replace')}'"))
 
-    def _request(self, words: list[bytes]) -> None:
+    def _transaction(self, words: list[bytes]) -> None:
         core = self._front.core
         try:
             call, request = self._front.reader.read(words)
--- a/thymeflow/net/link.py
+++ b/thymeflow/net/link.py
@@ -73,12 +73,7 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Cut what came into messages."""
-        found: list[resp.Value] = []
-        fault = ""
-        try:
-            self._parser.feed_into(data, found)
-        except resp.ProtocolError as problem:
-            fault = str(problem)
+        found, fault = self._parser.feed(data)
         for value in found:
             if self.closed:
                 return
--- a/thymeflow/net/resp.py
+++ b/thymeflow/net/resp.py
@@ -47,14 +47,16 @@
     def __init__(self) -> None:
         self._held = bytearray()
 
-    def feed(self, data: bytes) -> list[Value]:
-        """The messages that these bytes complete."""
+    def feed(self, data: bytes) -> tuple[list[Value], str]:
+        """The messages that these bytes complete, and the fault behind them at which the framing is lost."""
         found: list[Value] = []
-        self.feed_into(data, found)
-        return found
+        try:
+            self._cut(data, found)
+        except ProtocolError as fault:
+            return found, str(fault)
+        return found, ""
 
-    def feed_into(self, data: bytes, found: list[Value]) -> None:
-        """Like `feed`; what came before a ProtocolError is in `found` all the same."""
+    def _cut(self, data: bytes, found: list[Value]) -> None:
         source: bytes | bytearray = data
         if self._held:
             self._held += data
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -56,9 +56,9 @@
         figures = [w for w in words[1:] if b"=" in w]
         status = api.Status.FULL if words[:1] == [b"BUSY"] else api.Status.ERROR
         if status is api.Status.ERROR and words[:2] != [b"ERR", b"failed"]:
-            log.say("server odd", f"unexpected error {bytes(reply)[:80]!r}")
+            log.say("application server odd", f"unexpected error {bytes(reply)[:80]!r}")
         return _outcome(status, b"", figures)
-    log.say("server odd", f"unexpected reply {str(reply)[:80]}")
+    log.say("application server odd", f"unexpected reply {str(reply)[:80]}")
     return Outcome(api.Status.ERROR)
 
 
@@ -103,7 +103,7 @@
 
     def garbled(self, fault: str) -> None:
         """The pass that is out may have run, and its answer cannot be told."""
-        log.say("server garbled", f"{self.pool.address}: {fault}")
+        log.say("application server garbled", f"{self.pool.address}: {fault}")
         self.hang_up()
         self.lost()
 
@@ -140,7 +140,7 @@
                 self._retire(pool, entry.state)
 
     def _retire(self, pool: Pool, state: api.BackendState) -> None:
-        # No new work may reach a server that drains, so passes that wait for a connection end here.
+        # No new work may reach an application server that drains: passes waiting for a connection end here.
         pool.state = state
         self._close(pool)
         while pool.waiting:
@@ -153,7 +153,7 @@
         pool.idle.clear()
 
     def close_idle(self, backend: int) -> None:
-        """Close the idle connections to one server."""
+        """Close the idle connections to one application server."""
         if pool := self._pools.get(backend):
             self._close(pool)
 
@@ -180,7 +180,7 @@
         return ended
 
     def _spare_one(self) -> bool:
-        # The descriptor limit binds over all servers: the longest idle connection anywhere makes room.
+        # The descriptor limit binds over all of them: the connection idle for longest, anywhere, makes room.
         pools = [p for p in self._pools.values() if p.idle]
         if not pools:
             return False
@@ -191,8 +191,8 @@
     def _dial(self, pool: Pool) -> None:
         pool.dialing, self._count = pool.dialing + 1, self._count + 1
         deadline = clock.now() + self._limits.connect_timeout
-        attempt = dial(self._reactor, self._deadlines, pool.address, deadline, lambda: Connection(self, pool))
-        attempt.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(pool,))
+        up = dial(self._reactor, self._deadlines, pool.address, deadline, lambda: Connection(self, pool))
+        up.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(pool,))
 
     def _dialled(self, connection: Connection) -> None:
         connection.pool.dialing -= 1
@@ -250,7 +250,7 @@
         going = self._passes.get(handle)
         if going is None:
             return
-        if going.connection is not None:   # closing it is how a server learns that nobody waits
+        if going.connection is not None:   # closing it is how the other end learns that nobody waits
             going.connection.carries = -1
             going.connection.hang_up()
             self._count -= 1
