--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -32,7 +32,7 @@
     "tiers-of-service": [{"name": "basic", "refill": 50.0, "most-at-once": 200.0}]}
 
 
-def request(number: int, cls: str = "look", wait: int = 3000, extra: str = "", body: bytes = b"B") -> bytes:
+def request(number: int, cls: str = "look", wait: int = 20000, extra: str = "", body: bytes = b"B") -> bytes:
     """A request's command."""
     key = ",k=5c0f6e1a2b3d4c59" if cls == "book" else ""
     terms = f"c={cls},t=basic,d={wait}{key},units=1,spread=1,first=0{extra}".encode()
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -29,7 +29,7 @@
         before, _, rest = terms.partition(b"d=")
         wait, _, after = rest.partition(b",")
         assert (before, after) == (b"c=book,t=basic,", b"k=5c0f6e1a2b3d4c59,units=1,spread=1,first=0,new=1")
-        assert 0 < int(wait) <= 3000
+        assert 0 < int(wait) <= 20000
         server.send(GOOD)
         assert agent.bulk() == b"value"
         agent.send(request(2))
@@ -112,8 +112,8 @@
 
 @pytest.mark.parametrize("bad", [
     request(1).replace(b"c=look", b"c=none"), request(1).replace(b"t=basic", b"t=other"),
-    request(1).replace(b"d=3000", b"d=3e99"), request(1).replace(b"units=1", b"units=0"),
-    request(1).replace(b"first=0", b"first=7"), request(1).replace(b"d=3000", b"x=3000"),
+    request(1).replace(b"d=20000", b"d=20e99"), request(1).replace(b"units=1", b"units=0"),
+    request(1).replace(b"first=0", b"first=7"), request(1).replace(b"d=20000", b"x=20000"),
     request(1, "book").replace(b",k=", b",j="), request(1).replace(b"00000000b4", b"zz000000b4"),
     request(1).replace(b"SVC.QUERY", b"SVC.QUEUE"), command(b"SVC.QUERY", b"1"), command(b"HELLO", b"3"),
     request(1, "book").replace(b"c=book", b"c=look"), command(b"SVC.SUBMIT", b"\xff", b"\r\n", b"", b"")])
@@ -183,26 +183,33 @@
 
 def test_a_draining_server_gets_nothing_new_and_finishes_what_it_has(tmp_path: Path) -> None:
     with Limiter(tmp_path) as limiter:
-        watch, asked = limiter.watch()
+        (watch, asked), listener = limiter.watch(), limiter.servers[0]
         assert asked == b"GET /api/targets?stream=1&index=41 HTTP/1.1"
-        agent = limiter.connect()
+        agent, other = limiter.connect(), limiter.connect()
         agent.send(request(1))
-        server = limiter.servers[0].accept()
+        server = listener.accept()
         server.words()
+        other.send(request(2))
+        idle = listener.accept()
+        idle.words()
+        idle.send(GOOD)
+        assert other.bulk() == b"value"
         limiter.tell(watch, 42, limiter.entry(0, "leaving"))
-        number = iter(range(100, 100000))
-        # Until the change is read a request may still go out; from then on each is refused at once.
-        limiter.until(b"-BUSY", request(next(number), wait=100))
+        assert idle.ended()                  # so the change has been read
+        other.send(request(3))
+        assert other.line().startswith(b"-BUSY ")
+        assert listener.quiet(0.2)
         server.send(GOOD)
         assert agent.bulk() == b"value"
         assert server.ended()
         limiter.tell(watch, 43, limiter.entry(0))
-        agent.send(request(3))
-        while agent.silent(0.05):   # connections of the requests before may lie in line
-            peer = limiter.servers[0].accept()
-            if peer.line():
-                peer.send(GOOD)
-        assert agent.line() in (b"$5", b"-BUSY")
+        for number in range(4, 10000):       # refused until this change is read, too
+            agent.send(request(number))
+            if listener.sock in select.select([agent.sock, listener.sock], [], [], PATIENCE)[0]:
+                break
+            assert agent.line().startswith(b"-BUSY ")
+        listener.accept().send(GOOD)
+        assert agent.bulk() == b"value"
 
 
 def test_ping_waits_for_a_list_and_a_broken_watch_goes_on_from_its_last_version(tmp_path: Path) -> None:
--- a/thymeflow/net/counter.py
+++ b/thymeflow/net/counter.py
@@ -76,7 +76,8 @@
 
     def call(self, data: bytes, deadline: float) -> Deferred[Result]:
         """Put a call into the line."""
-        now, result = clock.now(), Deferred[Result]()
+        now = clock.now()
+        result: Deferred[Result] = Deferred()
         waiting = Waiting(data, now, result)
         if self._wire is None:
             self.connect()
