Keep the backlog test's connections open

The list of accepted connections was let go after the loop, which closed the slow one and ended request 1 with a refusal.

--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -154,7 +154,8 @@
     with Limiter(tmp_path, memory=1) as limiter:
         agent = limiter.connect()
         agent.send(b"".join(request(n) for n in (1, 2, 3, 4)))
-        for server in [limiter.servers[0].accept() for _ in range(4)]:   # each pass has its own connection
+        servers = [limiter.servers[0].accept() for _ in range(4)]   # each pass has its own connection
+        for server in servers:
             if server.words()[2] != b"%016x" % 1:
                 server.send(b"*3\r\n$65536\r\n" + b"x" * 65536 + b"\r\n$-1\r\n$-1\r\n")
         assert agent.ended()
