--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -18,7 +18,7 @@
 from thymeflow.net.config import Address, Listed, listed
 from thymeflow.net.core import Answer, Core, Offer, Order, Outcome, Verdict
 from thymeflow.net.counter import DEAD, Line
-from thymeflow.net.discovery import Body, HttpError
+from thymeflow.net.discovery import Body, Discovery, HttpError
 from thymeflow.net.table import Table
 from thymeflow.net.upstream import Upstream
 
@@ -174,6 +174,28 @@
     assert len(world.reactor.tcpClients) == 2
 
 
+def test_a_silent_watch_is_dialled_anew_and_a_whole_list_can_be_asked_for(world: World) -> None:
+    told: list[Listed] = []
+    watch = Discovery(world.reactor, world.deadlines, Address("127.0.0.1", 9), 41, told.append)
+    watch.start()
+    reading = world.up(0)
+    reading.transport.abortConnection = lambda: None
+    reading.dataReceived(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n")
+    for _ in range(5):                           # empty lines keep it up
+        world.reactor.pump([0.5] * 4)
+        reading.dataReceived(b"1\r\n\n\r\n")
+    assert len(world.reactor.tcpClients) == 1
+    world.reactor.pump([0.5] * 14)
+    assert len(world.reactor.tcpClients) == 2
+    watch.fetch()
+    whole = world.up(2)
+    assert whole.transport.value().startswith(b"GET /api/targets HTTP/1.1\r\n")
+    whole.transport.abortConnection = lambda: None
+    text = b'{"generation":50,"reset":true,"instances":[]}'
+    whole.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%b" % (len(text), text))
+    assert [(news.membership.kind, news.membership.version) for news in told] == [(i.ListKind.FULL, 50)]
+
+
 def test_deadlines_fire_in_order_behind_one_timer_and_not_when_cancelled(world: World) -> None:
     fired: list[int] = []
     entries = [world.deadlines.at(clock.now() + n, fired.append, n) for n in (5, 1, 3, 2, 4)]
