--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -103,13 +103,13 @@
     """The program, its configuration and its listening peers; use it as a context."""
 
     def __init__(self, folder: Path, servers: int = 1, known: bool = True,
-                 memory: int = 192, **settings: Any) -> None:
+                 memory: int = 192, sockets: int = 1024, **settings: Any) -> None:
         self.servers = [Listener() for _ in range(servers)]
         self.discovery, self.counter = Listener(), Listener()
         listed = [self.entry(n) for n in range(servers)] if known else []
         config = {"name": "n0", "listen": "127.0.0.1:0", "discovery": self.discovery.address,
                   "counter": self.counter.address, "seed": "8c1f30d27a5be964",
-                  "limits": {"cores": 1.0, "memory_mb": memory, "sockets": 1024},
+                  "limits": {"cores": 1.0, "memory_mb": memory, "sockets": sockets},
                   "known": {"generation": 41, "reset": True, "instances": listed},
                   "settings": {**SETTINGS, **settings}}
         path = folder / "config.json"
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -113,6 +113,7 @@
 @pytest.mark.parametrize("bad", [
     request(1).replace(b"c=look", b"c=none"), request(1).replace(b"t=basic", b"t=other"),
     request(1).replace(b"d=20000", b"d=20e99"), request(1).replace(b"units=1", b"units=0"),
+    request(1).replace(b"units=1", b"units=5"), request(1).replace(b"00000000b4", b"00000002b4"),
     request(1).replace(b"first=0", b"first=7"), request(1).replace(b"d=20000", b"x=20000"),
     request(1, "book").replace(b",k=", b",j="), request(1).replace(b"00000000b4", b"zz000000b4"),
     request(1).replace(b"SVC.QUERY", b"SVC.QUEUE"), command(b"SVC.QUERY", b"1"), command(b"HELLO", b"3"),
@@ -138,6 +139,41 @@
         limiter.until(b"+PONG", command(b"PING"))
 
 
+def test_an_error_line_arrives_though_more_garbage_pours_in(tmp_path: Path) -> None:
+    # A close with bytes unread resets the connection and takes the line away.
+    with Limiter(tmp_path) as limiter:
+        agent = limiter.connect()
+        agent.sock.sendall(b"*1\r\n$60000000\r\n" + b"x" * 2**17)
+        limiter.log("user agent garbled")
+        agent.send(b"x")
+        agent.silent(0.2)
+        agent.send(b"x")
+        assert agent.line().startswith(b"-ERR Protocol error")
+        assert agent.file.read(1) == b""     # an orderly end
+
+
+def test_who_says_nothing_or_half_a_command_is_let_go_and_a_usual_one_stays(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        usual, begun = limiter.connect(), time.monotonic()
+        usual.send(request(1))
+        server = limiter.servers[0].accept()
+        silent, half = limiter.connect(), limiter.connect()
+        half.send(request(2)[:50])
+        assert half.line().startswith(b"-ERR Protocol error")
+        assert half.ended() and silent.ended()
+        assert time.monotonic() - begun > 2.0
+        server.send(GOOD)
+        assert usual.bulk() == b"value"
+
+
+def test_a_table_full_of_those_who_say_nothing_still_takes_a_usual_one(tmp_path: Path) -> None:
+    with Limiter(tmp_path, sockets=64) as limiter:
+        silent = [limiter.connect() for _ in range(14)]    # all the room there is
+        assert silent[0].silent(0.3)
+        limiter.until(b"+PONG", command(b"PING"))
+        assert silent[0].ended()
+
+
 def test_a_user_agent_that_takes_no_answers_is_not_read_from(tmp_path: Path) -> None:
     with Limiter(tmp_path) as limiter:
         agent, sent = limiter.connect(), 0
--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -15,9 +15,10 @@
 from thymeflow.net.lifecycle import Lifecycle
 from thymeflow.net.upstream import Upstream
 
-AGENT_SHARE = 0.5     # of the descriptors: for user agents; the rest is for application servers
+AGENT_SHARE = 0.6     # of the descriptors: for user agents; the rest is for application servers
 MEMORY_SHARE = 0.25   # of the memory limit: for requests held
 ANSWER_SHARE = 0.15   # of the memory limit: for answers that user agents have not taken
+INPUT_SHARE = 0.05    # of the memory limit: for commands that have begun and are not whole
 
 
 def build(given: config.Config, reactor: Any) -> Lifecycle:
@@ -28,7 +29,8 @@
     core = Core(settings, given.seed, deadlines, int(given.memory * MEMORY_SHARE))
     agents = int(room * AGENT_SHARE)
     upstream = core.upstream = Upstream(reactor, deadlines, limits, room - agents)
-    front = Front(core, settings, agents, int(given.memory * ANSWER_SHARE))
+    front = Front(core, settings, deadlines, agents, int(given.memory * ANSWER_SHARE),
+                  int(given.memory * INPUT_SHARE))
     longest = max((c.deadline for c in settings.classes), default=0.0)
     lifecycle = Lifecycle(deadlines, core, front, longest, reactor.stop)
 
--- a/thymeflow/net/call.py
+++ b/thymeflow/net/call.py
@@ -13,6 +13,7 @@
 from thymeflow.net import resp
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
+MOST_CUSTOMERS = 1 << 33   # numbers of customers are under this
 _HEX = re.compile(rb"[0-9a-fA-F]{16}")
 _NUMBER = re.compile(rb"[0-9]{1,9}(\.[0-9]{1,9})?")
 _WHOLE = re.compile(rb"[0-9]{1,9}")
@@ -47,7 +48,7 @@
     def __init__(self, settings: api.Settings) -> None:
         self._classes = {c.name.encode(): c for c in settings.classes}
         self._plans = {p.name.encode(): p.name for p in settings.plans}
-        self._gateways = settings.gateways
+        self._gateways, self._most_units = settings.gateways, settings.information.max_units
 
     def read(self, words: list[bytes]) -> tuple[Call, api.Request]:
         """The call and what the module is told of it."""
@@ -75,8 +76,11 @@
         wait, units = self._number(terms, b"d", b""), self._number(terms, b"units", b"1")
         spread = int(self._number(terms, b"spread", b"1", _WHOLE))
         first = int(self._number(terms, b"first", b"0", _WHOLE))
-        if units <= 0 or not 1 <= spread <= self._gateways or first >= self._gateways:
+        # More units than any request counts would be demand of a usual customer's, told to all limiters.
+        if not 0 < units <= self._most_units or not 1 <= spread <= self._gateways or first >= self._gateways:
             raise CallError("units, spread or first out of range")
+        if int(customer, 16) >= MOST_CUSTOMERS:
+            raise CallError("no such customer")
         request = api.Request(name.decode(), cls.name, plan, customer.decode().lower(), wait / 1000.0, units,
                               spread, first, terms.get(b"r") == b"1", verb == SUBMIT)
         start = 2 if text.startswith(b"d=") else text.index(b",d=") + 3
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import contextlib
+import socket
 from collections import deque
 from typing import Any
 
@@ -17,12 +19,20 @@
 from thymeflow.net import clock, log, resp
 from thymeflow.net.call import QUERY, SUBMIT, CallError, Reader
 from thymeflow.net.core import Answer, Core, Offer, Verdict
-from thymeflow.net.link import Stream
+from thymeflow.net.link import Stream, unread
 from thymeflow.net.table import Table
 
 MOST_PLACES = 64       # commands of one user agent that are not answered; then it is not read from
 OVERHEAD = 2048        # bytes that a request takes beside its own
 ATTENTION = (b"CLIENT", b"SELECT")
+SWEEP = 0.2            # s: between looks at who says nothing
+SILENT = 2.3           # s: from connecting to the first whole command, or from the rest of one to its end
+KEPT = 4.0             # s: with nothing open, for a user agent that has asked; it would come again
+IDLE = 2.0             # s: the same where its place is wanted; before, it may be about to ask
+NEW = 0.1              # s: the same for one that has said nothing, as usual ones ask as they connect
+LINGER = 1.0           # s: from an error line that ends a connection to its close
+DISCARD = 256 * 1024   # bytes that are read meanwhile and thrown away
+MOST_GOING = 16        # connections dropped to make room whose descriptors are not free yet
 
 
 class Place:
@@ -53,18 +63,24 @@
         self._handle = -1
         self._reading = True        # what we told the transport
         self._last = False          # close once all is answered
+        self._lingers = False       # and then first let the other end read the error line
+        self._ended = False         # all is said; what still comes is thrown away
+        self._dropped = False       # its slot was given to another
+        self._spoken = False        # a whole command has come
+        self._since = 0.0           # when it last did something of use, or was last answered
+        self._discarded = 0         # bytes thrown away
         self._held = 0              # bytes of answers that wait for earlier ones, or for the user agent
 
     def connectionMade(self) -> None:
         """Take a slot."""
-        self._handle = self._front.agents.add(self)
+        self._handle, self._since = self._front.agents.add(self), clock.now()
         super().connectionMade()
 
     def resumeProducing(self) -> None:
         """It takes its answers."""
         super().resumeProducing()
         self._taken()
-        self._pace()
+        self._flush()
 
     def _hold(self, change: int) -> None:
         self._held += change
@@ -77,6 +93,7 @@
     def _pace(self) -> None:
         # From a user agent that does not take its answers, nothing more is taken.
         wanted = self.flushed and not self._last and len(self._places) < MOST_PLACES
+        wanted = wanted or (self._ended and self._discarded < DISCARD)
         if wanted != self._reading:
             self._reading = wanted
             if wanted:
@@ -86,7 +103,14 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Begin each command as it is whole; the answers wait for their turn."""
+        if self._last:
+            self._discarded += len(data)
+            self._pace()
+            return
+        before = self._parser.held()
         found, fault = self._parser.feed(data)
+        if found:
+            self._spoken, self._since = True, clock.now()
         for value in found:
             if self._last:
                 return
@@ -96,12 +120,59 @@
             else:
                 fault = "a command is an array of bulk strings"
                 break
+        self._front.taken_in(self._parser.held() - before)
         if fault and not self._last:
-            # Where the next command begins is not known any more: one line, then the end.
-            log.say("user agent garbled", fault)
-            self._say(resp.problem(f"ERR Protocol error: {fault}"))
-            self.finish()
+            self._garbled(fault)
         self._flush()
+        if self._front.closing:
+            self.finish()
+
+    def _garbled(self, fault: str) -> None:
+        # Where the next command begins is not known any more: one line, then the end.
+        log.say("user agent garbled", fault)
+        self._lingers = True
+        self._front.taken_in(-self._parser.held())
+        self._parser = resp.Parser()
+        self._say(resp.problem(f"ERR Protocol error: {fault}"))
+        self.finish()
+
+    def idle(self, now: float) -> float:
+        """For how long it has had nothing open."""
+        return 0.0 if self._places else now - self._since
+
+    def begun(self) -> tuple[bool, int]:
+        """Whether nothing else is open, and the bytes held of a command that is not whole."""
+        return not self._places, self._parser.held()
+
+    def spare(self, now: float) -> float:
+        """How well its place could be used by another; 0: not at all."""
+        idle = self.idle(now)
+        if self._ended:
+            return 2e6 + idle
+        if not self._spoken:
+            return 1e6 + idle if idle > NEW else 0.0
+        return idle if idle > IDLE else 0.0
+
+    def look(self, now: float) -> None:
+        """Guards the table against those that say nothing, or never end what they say."""
+        idle = self.idle(now)
+        if self._ended or not self.flushed:
+            if idle > (LINGER if self._ended else KEPT):
+                self.transport.abortConnection()
+        elif self._last:
+            return
+        elif self._parser.held():
+            if idle > SILENT:
+                self._garbled("a command was begun and not ended")
+        elif idle > (KEPT if self._spoken else SILENT) and not unread(self.transport):
+            self.finish()
+
+    def drop(self) -> None:
+        """Leave the slot to another, now."""
+        self._dropped = True
+        self._front.agents.remove(self._handle)
+        self._front.going += 1
+        self.transport.abortConnection()
 
     def _command(self, words: list[bytes]) -> None:
         name = words[0].upper()
@@ -158,10 +229,22 @@
             self.write(b"".join(ready))
             if self.flushed:
                 self._taken()
-        if self._last and not self._places:
+            if not self._places:
+                self._since = clock.now()
+        if self._last and not self._places and not self._ended:
+            self._end()
+        else:
+            self._pace()
+
+    def _end(self) -> None:
+        if not self._lingers:
             self.transport.unregisterProducer()
             self.transport.loseConnection()
-        else:
+        elif self.flushed:
+            # A close with bytes unread would reset the connection, and the error line might go with it.
+            self._ended, self._since = True, clock.now()
+            with contextlib.suppress(OSError):
+                self.transport.getHandle().shutdown(socket.SHUT_WR)
             self._pace()
 
     def finish(self) -> None:
@@ -176,7 +259,10 @@
         self._last = True
         places, self._places = self._places, deque()
         self._hold(-self._held)
+        self._front.taken_in(-self._parser.held())
+        self._parser = resp.Parser()
         self._front.agents.remove(self._handle)
+        self._front.going -= self._dropped
         for place in places:
             if place.due is not None and place.answer is None:
                 place.due.cancel()
@@ -188,23 +274,48 @@
 
     noisy = False
 
-    def __init__(self, core: Core, settings: api.Settings, most: int, memory: int) -> None:
-        self.core, self.reader = core, Reader(settings)
-        self.held, self.most_held = 0, memory   # bytes of answers not taken yet; closing begins beyond
+    def __init__(self, core: Core, settings: api.Settings, deadlines: clock.Deadlines, most: int,
+                 most_held: int, most_input: int) -> None:
+        self.core, self.reader, self._deadlines = core, Reader(settings), deadlines
+        self.held, self.most_held = 0, most_held   # bytes of answers not taken yet; closing begins beyond
+        self._input, self._most_input = 0, most_input   # bytes of commands that are not whole, likewise
         self.agents: Table[UserAgent] = Table(most)
-        self._closing = False
+        self.going = 0
+        self.closing = False
         self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered
         self.gone: Any = lambda: None       # likewise: a user agent has left
+        self._sweep(0)
 
     def buildProtocol(self, addr: Any) -> UserAgent | None:
         """A new connection, unless the descriptors are used up or we are about to end."""
-        if self.agents.full():
-            log.say("user agents", f"all {len(self.agents)} connections are taken; a new one was closed")
+        if self.closing:
             return None
-        return None if self._closing else UserAgent(self)
+        if self.agents.full():
+            # Many user agents ask once and stay, and others say nothing: who has least use of its place goes.
+            now = clock.now()
+            least = max(self.agents.all(), key=lambda agent: agent.spare(now))
+            if not least.spare(now) or self.going >= MOST_GOING:
+                log.say("user agents", f"all {len(self.agents)} connections are in use; a new one was closed")
+                return None
+            least.drop()
+        return UserAgent(self)
+
+    def taken_in(self, change: int) -> None:
+        """Guards the memory limit against commands that are begun and not ended, on many connections."""
+        self._input += change
+        if change > 0 and self._input > self._most_input:
+            log.say("input", f"{self._input} bytes of unfinished commands are held; the longest was let go")
+            max(self.agents.all(), key=UserAgent.begun).drop()
+
+    def _sweep(self, _: int) -> None:
+        now = clock.now()
+        for agent in self.agents.all():
+            agent.look(now)
+        self._deadlines.at(now + SWEEP, self._sweep)
 
     def close(self) -> None:
         """Take nothing more: idle connections end now, the others with their last answer."""
-        self._closing = True
+        self.closing = True
         for agent in self.agents.all():
-            agent.finish()
+            if not unread(agent.transport):   # what has come is read first, and answered before the end
+                agent.finish()
--- a/thymeflow/net/link.py
+++ b/thymeflow/net/link.py
@@ -25,6 +25,17 @@
 from thymeflow.net.config import Address
 
 
+def unread(transport: Any) -> bool:
+    """Whether bytes or the end of the connection wait to be read: it is not as quiet as it seems."""
+    try:
+        transport.getHandle().recv(1, socket.MSG_PEEK)
+    except BlockingIOError:
+        return False
+    except OSError:
+        return True
+    return True
+
+
 @implementer(IPullProducer)
 class Stream(Protocol):
     """A connection, made by us or to us."""
--- a/thymeflow/net/resp.py
+++ b/thymeflow/net/resp.py
@@ -47,6 +47,10 @@
     def __init__(self) -> None:
         self._held = bytearray()
 
+    def held(self) -> int:
+        """Bytes of a message that has begun and is not whole."""
+        return len(self._held)
+
     def feed(self, data: bytes) -> tuple[list[Value], str]:
         """The messages that these bytes complete, and the fault behind them at which the framing is lost."""
         found: list[Value] = []
