--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -112,7 +112,8 @@
                   "limits": {"cores": 1.0, "memory_mb": memory, "sockets": sockets},
                   "known": {"generation": 41, "reset": True, "instances": listed},
                   "settings": {**SETTINGS, **settings}}
-        path = folder / "config.json"
+        self.config, self.path = config, folder / "config.json"
+        path = self.path
         path.write_text(json.dumps(config))
         self.process = subprocess.Popen([sys.executable, "-m", "thymeflow"], cwd=ROOT, text=True,
                                         stderr=subprocess.PIPE,
@@ -135,9 +136,9 @@
     def connect(self) -> Peer:
         return Peer(socket.create_connection(("127.0.0.1", self.port), PATIENCE))
 
-    def watch(self) -> tuple[Peer, bytes]:
+    def watch(self, at: Listener | None = None) -> tuple[Peer, bytes]:
         """The watch as discovery sees it, already answered with a head, and the line it asked with."""
-        peer = self.discovery.accept()
+        peer = (at or self.discovery).accept()
         asked = peer.line()
         while peer.line():
             pass
@@ -160,6 +161,12 @@
             answer = peer.line()
         peer.close()
 
+    def reload(self, **changed: Any) -> None:
+        """The configuration changed and SIGHUP sent, once it has been read."""
+        self.path.write_text(json.dumps({**self.config, **changed}))
+        self.process.send_signal(signal.SIGHUP)
+        self.log("reload:")
+
     def terminate(self) -> None:
         self.process.send_signal(signal.SIGTERM)
 
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -4,6 +4,7 @@
 
 import os
 import select
+import signal
 import subprocess
 import sys
 import time
@@ -11,7 +12,7 @@
 
 import pytest
 
-from tests.limiter import PATIENCE, ROOT, Limiter, command, request
+from tests.limiter import PATIENCE, ROOT, Limiter, Listener, command, request
 
 GOOD = b"*3\r\n$5\r\nvalue\r\n$14\r\nused=37,cost=2\r\n$11\r\navg_ms=14.5\r\n"
 
@@ -292,6 +293,47 @@
         assert limiter.process.wait(PATIENCE) == 0
 
 
+def test_sighup_moves_discovery_and_counter_with_nothing_lost(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        old, _ = limiter.watch()
+        limiter.tell(old, 42, limiter.entry(0))
+        calls = [limiter.counter.accept() for _ in range(3)]
+        agent = limiter.connect()
+        agent.send(request(1))
+        server = limiter.servers[0].accept()
+        server.words()
+        ready = select.select([peer.sock for peer in calls], [], [], PATIENCE)[0]
+        discovery, counter = Listener(), Listener()
+        for _ in range(2):                          # the second finds nothing to do
+            limiter.reload(discovery=discovery.address, counter=counter.address)
+        moved, asked = limiter.watch(discovery)
+        assert b"index=42 " in asked and old.ended()
+        assert all(peer.ended() for peer in calls if peer.sock not in ready)   # no call is out on these
+        server.send(GOOD)
+        assert agent.bulk() == b"value"             # the list was kept, and so was the request
+        news = [counter.accept() for _ in range(3)]
+        agent.send(request(2, extra=",new=1"))
+        server.words()
+        assert select.select([peer.sock for peer in news], [], [], PATIENCE)[0]
+        server.send(GOOD)
+        assert agent.bulk() == b"value"
+        limiter.tell(moved, 43, limiter.entry(0, "leaving"))
+        assert server.ended()                       # the new watch is heeded
+
+
+@pytest.mark.parametrize("text", ["{", "", "{}", '{"listen": "127.0.0.1:0", "discovery": 7, "settings": {}}'])
+def test_sighup_with_a_bad_file_leaves_the_old_settings_in_force(tmp_path: Path, text: str) -> None:
+    with Limiter(tmp_path) as limiter:
+        limiter.watch()
+        limiter.path.write_text(text)
+        limiter.process.send_signal(signal.SIGHUP)
+        assert "the old settings stay" in limiter.log("reload:")
+        limiter.until(b"+PONG", command(b"PING"))
+        limiter.terminate()
+        limiter.process.send_signal(signal.SIGHUP)      # while it ends, and with the signal that ends it
+        assert limiter.process.wait(PATIENCE) == 0
+
+
 def test_an_address_that_is_taken_is_one_line_and_a_failure(tmp_path: Path) -> None:
     with Limiter(tmp_path) as limiter:
         path = tmp_path / "config.json"
--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -13,6 +13,7 @@
 from thymeflow.net.discovery import Discovery
 from thymeflow.net.front import Front
 from thymeflow.net.lifecycle import Lifecycle
+from thymeflow.net.reload import Reload
 from thymeflow.net.upstream import Upstream
 
 AGENT_SHARE = 0.6     # of the descriptors: for user agents; the rest is for application servers
@@ -42,9 +43,11 @@
     changed(given.known)
     discovery = Discovery(reactor, deadlines, given.discovery, given.known.membership.version, changed)
     core.discovery = discovery
+    counter: Counter | None = None
     if given.counter is not None:
-        counter = core.counter = Counter(reactor, deadlines, given.counter)
+        core.counter = counter = Counter(reactor, deadlines, given.counter)
         counter.connect()
+    lifecycle.reload = Reload(given, discovery, counter).now
     discovery.start()
     lifecycle.listening(reactor.listenTCP(given.listen.port, front, backlog=511,
                                           interface=given.listen.host))
@@ -53,6 +56,9 @@
 
 def main() -> int:
     """Run until told to end; a configuration that cannot be used is one line and a failure."""
+    # Its default action would end the program; one that comes too early to be served is remembered.
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     try:
         given = config.load()
     except config.ConfigError as fault:
@@ -70,6 +76,9 @@
         return 3
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: loop.callFromThread(lifecycle.terminate))
+    signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(lifecycle.reread))
+    if early:
+        loop.callFromThread(lifecycle.reread)
     gc.collect()
     gc.freeze()   # what stands by now lasts, and need not be looked through again and again
     loop.run(installSignalHandlers=False)
--- a/thymeflow/net/counter.py
+++ b/thymeflow/net/counter.py
@@ -22,6 +22,7 @@
 MOST_WAITING = 512   # calls in one line that are not answered
 CONNECT = 0.25       # s: to connect
 PAUSE = 0.2          # s: between a failed connect and the next
+LEAVE = 2.0          # s: for calls that are out when the counter has moved
 
 Result = tuple[api.Status, float]
 
@@ -70,6 +71,7 @@
         self._reactor, self._deadlines, self._address = reactor, deadlines, address
         self._wire: Wire | None = None
         self._dialing, self._again, self._heard = False, 0.0, 0.0
+        self._leaving = False               # the counter has moved: no new calls, and none are awaited long
         self.written: deque[Waiting] = deque()
         self.left = 0                       # how many of the written ones have gone to the kernel
         self._unwritten: deque[Waiting] = deque()
@@ -96,12 +98,27 @@
     def connect(self) -> None:
         """Dial, unless that failed a moment ago."""
         now = clock.now()
-        if self._dialing or self._wire is not None or now < self._again:
+        if self._dialing or self._wire is not None or now < self._again or self._leaving:
             return
         self._dialing = True
         dialling = dial(self._reactor, self._deadlines, self._address, now + CONNECT, lambda: Wire(self))
         dialling.addCallbacks(self._up, self._down)
 
+    def leave(self) -> None:
+        """The counter has moved: calls that are out end here, and then the connection."""
+        self._leaving = True
+        self._deadlines.at(clock.now() + LEAVE, self._left)
+        self._left_all()
+
+    def _left(self, _: int) -> None:
+        if self._wire is not None:
+            self._wire.hang_up()
+            self.lost()
+
+    def _left_all(self) -> None:
+        if self._leaving and not self.written and not self._unwritten:
+            self._left(0)
+
     def _up(self, wire: Wire) -> None:
         self._dialing, self._heard = False, clock.now()
         if wire.closed:
@@ -110,6 +127,7 @@
         self._wire = wire
         while self._unwritten:
             self._write(self._unwritten.popleft())
+        self._left_all()
 
     def _down(self, failure: Any) -> None:
         self._dialing, self._again = False, clock.now() + PAUSE
@@ -153,6 +171,7 @@
         waiting = self.written.popleft()
         self.left = max(0, self.left - 1)
         self._report(waiting, self._result(value))
+        self._left_all()
 
     @staticmethod
     def _result(value: resp.Value) -> Result:
@@ -191,13 +210,24 @@
     """The counter, by a few lines."""
 
     def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address) -> None:
-        self._lines = [Line(reactor, deadlines, address) for _ in range(LINES)]
+        self._reactor, self._deadlines = reactor, deadlines
+        self._lines = self._at(address)
+
+    def _at(self, address: Address) -> list[Line]:
+        return [Line(self._reactor, self._deadlines, address) for _ in range(LINES)]
 
     def connect(self) -> None:
         """Connect ahead of the first calls."""
         for line in self._lines:
             line.connect()
 
+    def move(self, address: Address) -> None:
+        """New calls go to another address; those that are out end where they went."""
+        old, self._lines = self._lines, self._at(address)
+        self.connect()
+        for line in old:
+            line.leave()
+
     def add(self, name: int, amount: float, ttl: float, deadline: float) -> Deferred[Result]:
         """Add to a named number; always ends in a status and the total, never in a failure."""
         data = resp.command(b"INCRTTL", b"%d" % name, b"%.6f" % amount, b"%d" % max(1, round(ttl * 1000.0)))
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -168,6 +168,7 @@
         self._reactor, self._deadlines, self._address = reactor, deadlines, address
         self._version, self._changed = version, changed
         self._watching: Reading | None = None
+        self._turn = 0              # number of the present watch; what is said of earlier ones is old
         self._heard = 0.0
 
     def start(self) -> None:
@@ -175,13 +176,31 @@
         self._watch(0)
         self._look(0)
 
-    def _watch(self, _: int) -> None:
+    def move(self, address: Address) -> None:
+        """Watch at another address from now on; the list and its version stay."""
+        old, self._watching = self._watching, None
+        self._address, self._turn = address, self._turn + 1
+        if old is not None:
+            old.end("moved")
+        self._watch(self._turn)
+
+    def _watch(self, turn: int) -> None:
+        if turn != self._turn:
+            return
         path = f"/api/targets?stream=1&index={self._version}"
+
+        def broken(why: str) -> None:
+            self._broken(turn, why)
+
         dialling = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
-                       lambda: Reading(path, self._address, self._line, self._broken))
-        dialling.addCallbacks(self._watched, lambda failure: self._broken(failure.getErrorMessage()))
+                       lambda: Reading(path, self._address, self._line, broken))
+        dialling.addCallbacks(self._watched, lambda failure: broken(failure.getErrorMessage()),
+                              callbackArgs=(turn,))
 
-    def _watched(self, reading: Reading) -> None:
+    def _watched(self, reading: Reading, turn: int) -> None:
+        if turn != self._turn:      # moved while it was dialled
+            reading.end("moved")
+            return
         self._watching, self._heard = reading, clock.now()
 
     def _look(self, _: int) -> None:
@@ -190,10 +209,12 @@
             self._watching.end(f"silent for {SILENCE:g} s")
         self._deadlines.at(now + 0.5, self._look)
 
-    def _broken(self, why: str) -> None:
-        self._watching = None
+    def _broken(self, turn: int, why: str) -> None:
+        if turn != self._turn:
+            return
+        self._watching, self._turn = None, turn + 1
         log.say("discovery", f"watch at {self._address} broke: {why}")
-        self._deadlines.at(clock.now() + PAUSE, self._watch)
+        self._deadlines.at(clock.now() + PAUSE, self._watch, self._turn)
 
     def _line(self, line: bytes) -> None:
         self._heard = clock.now()
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -32,6 +32,7 @@
         self._deadlines, self._core, self._front, self._longest = deadlines, core, front, longest
         self._stop, self._port = stop, None
         self._listed = self._closed = False
+        self.reload: Callable[[], None] = lambda: None   # set once there is something to reload
         front.able = lambda: self.phase in (Phase.SERVING, Phase.DRAINING)
         front.gone = self._look
 
@@ -63,6 +64,11 @@
             self._deadlines.at(now + LINGER, self._close)
             self._deadlines.at(now + LINGER + self._longest + EXTRA, self._end)
 
+    def reread(self) -> None:
+        """SIGHUP: harmless in every phase; while ending, what is in hand still wants its counter."""
+        if self.phase is not Phase.STOPPED:
+            self.reload()
+
     def _close(self, _: int) -> None:
         if self._port is not None:
             self._port.stopListening()
