Read all that came before a server connection is used again; spoilt answers are errors

At fault, each shown by a test that fails without the change: - upstream.Connection.message gave each message of one read to the pass then out, and answered() had already released the connection to the next waiting pass: a second copy answered the wrong transaction. - odd replies ('+..', ':1', [null, null, null]) left the connection in use; a partial answer held its pass until the deadline; garbled ones counted as resets, which eject a server that is alive. - _pairs took nan, inf and negative figures into load reports. - counter.Line kept a connection after an answer with no number, float() took nan and 1_000, and an answer too many shifted all that followed to the wrong names. Now a connection is used again only with nothing left over, in the parser or (a peek) in the kernel; a good answer stands whatever follows; an answer not whole 0.3 s after its first bytes is spoilt; spoilt is ERROR, may have run. The counter's line is left at the first answer without a total. Also seven tenths of the descriptors for user agents now: 16 new connections were still closed unserved.

--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -16,7 +16,7 @@
 from thymeflow.net.reload import Reload
 from thymeflow.net.upstream import Upstream
 
-AGENT_SHARE = 0.6     # of the descriptors: for user agents; the rest is for application servers
+AGENT_SHARE = 0.7     # of the descriptors: for user agents; the rest is for application servers
 MEMORY_SHARE = 0.25   # of the memory limit: for requests held
 ANSWER_SHARE = 0.15   # of the memory limit: for answers that user agents have not taken
 INPUT_SHARE = 0.05    # of the memory limit: for commands that have begun and are not whole
--- a/thymeflow/net/counter.py
+++ b/thymeflow/net/counter.py
@@ -7,6 +7,7 @@
 
 from __future__ import annotations
 
+import re
 from collections import deque
 from typing import Any
 
@@ -24,6 +25,9 @@
 PAUSE = 0.2          # s: between a failed connect and the next
 LEAVE = 2.0          # s: for calls that are out when the counter has moved
 
+MOST_TOTAL = 1e15    # no sum of believable amounts is more
+_TOTAL = re.compile(rb"-?[0-9]{1,18}(\.[0-9]{1,18})?([eE][+-]?[0-9]{1,2})?")
+
 Result = tuple[api.Status, float]
 
 
@@ -53,6 +57,10 @@
         """The answer to the oldest call."""
         self.line.answered(value)
 
+    def begun(self) -> bool:
+        """Whether part of an answer has come."""
+        return self._parser.held() > 0
+
     def garbled(self, fault: str) -> None:
         """The line cannot be followed any more."""
         log.say("counter garbled", fault)
@@ -156,6 +164,9 @@
             self._report(waiting, (api.Status.CONNECT_FAILED, 0.0))
             return
         self._report(waiting, (api.Status.TIMEOUT, 0.0))
+        if self._wire is not None and self._wire.begun():
+            self._wire.garbled("an answer was begun and not ended")
+            return
         head = self.written[0] if self.written else waiting
         if self._wire is not None and now - max(self._heard, head.begun) > DEAD:
             log.say("counter silent", f"{self._address}: no answer for {DEAD:g} s, connecting anew")
@@ -165,27 +176,27 @@
     def answered(self, value: resp.Value) -> None:
         """The oldest call has its answer, whether or not anybody still waits for it."""
         self._heard = clock.now()
-        if not self.written:
-            log.say("counter garbled", "answer to nothing")
+        result = self._result(value) if self.written else None
+        if result is None:
+            # Which answer belongs to which call cannot be told any more; all that left may have been added.
+            if self._wire is not None:
+                self._wire.garbled(f"no answer: {str(value)[:60]}")
             return
         waiting = self.written.popleft()
         self.left = max(0, self.left - 1)
-        self._report(waiting, self._result(value))
+        self._report(waiting, result)
         self._left_all()
 
     @staticmethod
-    def _result(value: resp.Value) -> Result:
+    def _result(value: resp.Value) -> Result | None:
         if isinstance(value, resp.Problem):
-            if not value.startswith(b"BUSY"):
+            if value.startswith(b"ERR"):
                 log.say("counter odd", repr(bytes(value)[:80]))
-            return api.Status.FULL, 0.0
-        try:
-            if isinstance(value, bytes) and not isinstance(value, resp.Simple):
-                return api.Status.OK, float(value)
-        except ValueError:
-            pass
-        log.say("counter odd", str(value)[:80])
-        return api.Status.TIMEOUT, 0.0      # it may have been added; the total cannot be told
+            return (api.Status.FULL, 0.0) if value.split()[:1] in ([b"BUSY"], [b"ERR"]) else None
+        if not isinstance(value, bytes) or isinstance(value, resp.Simple) or not _TOTAL.fullmatch(value):
+            return None
+        total = float(value)
+        return (api.Status.OK, total) if abs(total) <= MOST_TOTAL else None
 
     def lost(self) -> None:
         """The connection ended: what had left may have been added, the rest was not."""
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -32,7 +32,7 @@
 NEW = 0.1              # s: the same for one that has said nothing, as usual ones ask as they connect
 LINGER = 1.0           # s: from an error line that ends a connection to its close
 DISCARD = 256 * 1024   # bytes that are read meanwhile and thrown away
-MOST_GOING = 16        # connections dropped to make room whose descriptors are not free yet
+MOST_GOING = 24        # connections dropped to make room whose descriptors are not free yet
 
 
 class Place:
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
+from math import isfinite
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -16,11 +17,13 @@
 from thymeflow.net.call import Call
 from thymeflow.net.config import Address, Listed
 from thymeflow.net.core import Order, Outcome
-from thymeflow.net.link import Link, dial
+from thymeflow.net.link import Link, dial, unread
 from thymeflow.net.table import Table
 
 IDLE_SHARE = 0.7     # of conn-idle: an idle connection is dropped then, well before the other end may
 SWEEP = 1.0          # s: between looks for connections that have been idle for long
+STALL = 0.3          # s: from the first bytes of an answer to its last; it is written at once
+MOST_FIGURE = 1e6    # beyond it no figure is believed: 10,000 times a quota, 17 minutes of service time
 READY = api.BackendState.READY
 FIELDS = {b"inflight": "inflight", b"active": "inflight", b"queue": "queued", b"waiting": "queued",
           b"util": "utilization", b"cpu": "utilization", b"latency_ms": "service_time",
@@ -32,8 +35,13 @@
     for pair in text.split(b","):
         name, _, value = pair.partition(b"=")
         try:
-            found[name] = float(value)
+            number = float(value)
         except ValueError:
+            number = -1.0
+        # One figure that is not finite would stay in the module's running means and sums for good.
+        if isfinite(number) and 0.0 <= number <= MOST_FIGURE:
+            found[name] = number
+        else:
             log.say("bad figures", repr(text[:60]))
 
 
@@ -41,25 +49,24 @@
     found: dict[bytes, float] = {}
     for text in figures:
         _pairs(text, found)
-    used, units = found.get(b"used"), found.get(b"cost", 0.0)
+    used, units = found.get(b"used"), found.get(b"cost")
     load = {FIELDS[n]: v / 1000.0 if n.endswith(b"_ms") else v for n, v in found.items() if n in FIELDS}
-    return Outcome(status, value, used / 100.0 if used is not None and 0.0 <= used < 1e9 else None,
-                   units if 0.0 < units < 1e9 else None, api.LoadReport(**load) if load else None)
+    return Outcome(status, value, None if used is None else used / 100.0, units or None,
+                   api.LoadReport(**load) if load else None)
 
 
-def outcome_of(reply: resp.Value) -> Outcome:
-    """What an application server's reply means; one that makes no sense is an error that may have run."""
-    if isinstance(reply, list) and reply and isinstance(reply[0], bytes):
+def outcome_of(reply: resp.Value) -> Outcome | None:
+    """What an application server's reply means; None for one that is no answer, after which nothing holds."""
+    if isinstance(reply, list) and len(reply) == 3 and isinstance(reply[0], bytes):
         return _outcome(api.Status.OK, reply[0], [r for r in reply[1:] if isinstance(r, bytes)])
     if isinstance(reply, resp.Problem):
         words = reply.split()
         figures = [w for w in words[1:] if b"=" in w]
-        status = api.Status.FULL if words[:1] == [b"BUSY"] else api.Status.ERROR
-        if status is api.Status.ERROR and words[:2] != [b"ERR", b"failed"]:
-            log.say("application server odd", f"unexpected error {bytes(reply)[:80]!r}")
-        return _outcome(status, b"", figures)
-    log.say("application server odd", f"unexpected reply {str(reply)[:80]}")
-    return Outcome(api.Status.ERROR)
+        if words[:1] == [b"BUSY"]:
+            return _outcome(api.Status.FULL, b"", figures)
+        if words[:1] == [b"ERR"]:
+            return _outcome(api.Status.ERROR, b"", figures)
+    return None
 
 
 class ProxyPass:
@@ -93,19 +100,36 @@
         self.upstream, self.pool = upstream, pool
         self.carries = -1          # handle of the pass that is out on it
         self.since = 0.0           # when it fell idle
+        self.begun = False         # the first bytes of an answer have come
 
-    def message(self, value: resp.Value) -> None:
-        """An answer, if one is due."""
+    def dataReceived(self, data: bytes) -> None:
+        """Read all that came before the connection may be used again: it may hold more than the answer."""
+        found, fault = self._parser.feed(data)
+        if self.closed:
+            return
         if self.carries < 0:
-            self.garbled("answer to nothing")
-        else:
-            self.upstream.answered(self, outcome_of(value))
+            self.garbled("bytes though nothing was asked")
+        elif found:
+            outcome = outcome_of(found[0])
+            if outcome is None:
+                self.garbled(f"no answer: {str(found[0])[:60]}")
+                return
+            # What follows is a second copy or noise: the next pass over this connection would be given it.
+            clean = len(found) == 1 and not fault and not self._parser.held()
+            if not clean:
+                log.say("application server garbled", f"{self.pool.address}: more than the answer")
+            self.upstream.answered(self, outcome, clean)
+        elif fault:
+            self.garbled(fault)
+        elif not self.begun:
+            self.begun = True
+            self.upstream.expect_rest(self)
 
     def garbled(self, fault: str) -> None:
         """The pass that is out may have run, and its answer cannot be told."""
         log.say("application server garbled", f"{self.pool.address}: {fault}")
         self.hang_up()
-        self.lost()
+        self.upstream.spoilt(self)
 
     def lost(self) -> None:
         """The other end closed or broke it."""
@@ -169,8 +193,8 @@
             self._end(handle, Outcome(api.Status.CONNECT_FAILED))
         else:
             going.due = self._deadlines.at(order.deadline, self._late, handle)
-            if pool.idle:
-                self._pass_on(pool.idle.pop(), handle)
+            if connection := self._warm(pool):
+                self._pass_on(connection, handle)
             elif self._count < self._most or self._spare_one():
                 pool.waiting.append(handle)
                 self._dial(pool)
@@ -179,6 +203,21 @@
                 self._end(handle, Outcome(api.Status.CONNECT_FAILED))
         return ended
 
+    def _usable(self, connection: Connection) -> bool:
+        # A pass written to a connection that has ended, or that still brings what belongs to an earlier
+        # one, counts as one that may have run, or would be given the wrong answer.
+        if not unread(connection.transport):
+            return True
+        connection.hang_up()
+        self._count -= 1
+        return False
+
+    def _warm(self, pool: Pool) -> Connection | None:
+        while pool.idle:
+            if self._usable(connection := pool.idle.pop()):
+                return connection
+        return None
+
     def _spare_one(self) -> bool:
         # The descriptor limit binds over all of them: the connection idle for longest, anywhere, makes room.
         pools = [p for p in self._pools.values() if p.idle]
@@ -211,6 +250,8 @@
         if pool.state is not READY:   # looked at again when about to write: it may drain by now
             connection.hang_up()
             self._count -= 1
+        elif not self._usable(connection):
+            return                    # each waiting pass has a dial of its own
         elif pool.waiting:
             self._pass_on(connection, pool.waiting.popleft())
         else:
@@ -220,16 +261,38 @@
     def _pass_on(self, connection: Connection, handle: int) -> None:
         going = self._passes.get(handle)
         assert going is not None and isinstance(going.order.payload, Call)
-        going.connection, connection.carries = connection, handle
+        going.connection, connection.carries, connection.begun = connection, handle, False
         wait = max(1, int((going.order.deadline - clock.now()) * 1000.0))
         connection.write(going.order.payload.write(wait))
 
-    def answered(self, connection: Connection, outcome: Outcome) -> None:
-        """The pass out on this connection has its answer; the connection is free again first."""
+    def answered(self, connection: Connection, outcome: Outcome, clean: bool) -> None:
+        """The pass out on this connection has its answer; if that was all, the connection is free first."""
         handle, connection.carries = connection.carries, -1
-        self._release(connection)
+        if clean:
+            self._release(connection)
+        else:
+            connection.hang_up()
+            self._count -= 1
         self._end(handle, outcome)
 
+    def expect_rest(self, connection: Connection) -> None:
+        """An answer has begun: one that does not end is as spoilt as one that cannot be read."""
+        self._deadlines.at(clock.now() + STALL, self._stalled, connection.carries)
+
+    def _stalled(self, handle: int) -> None:
+        going = self._passes.get(handle)
+        if going is not None and going.connection is not None:
+            going.connection.garbled("an answer was begun and not ended")
+
+    def spoilt(self, connection: Connection) -> None:
+        """A connection was given up as what it brought cannot be read."""
+        self._count -= 1
+        handle, connection.carries = connection.carries, -1
+        if handle >= 0:
+            self._end(handle, Outcome(api.Status.ERROR))
+        elif connection in connection.pool.idle:
+            connection.pool.idle.remove(connection)
+
     def lost(self, connection: Connection) -> None:
         """A connection ended; a pass not wholly written has never run, another one may have."""
         handle, connection.carries = connection.carries, -1
