--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -45,7 +45,7 @@
                      "clock wall=7\nend\n")
     assert code == 0
     assert out == ("for i=4\narm cookie=1 from-now=0.094787\nready\n"
-                   "for i=4\narm cookie=2 from-now=1.996000\nissue rid=00000000000000ab backend=51\nready\n"
+                   "for i=4\narm cookie=2 from-now=0.996000\nissue rid=00000000000000ab backend=51\nready\n"
                    "ready\nready\n")
 
 
--- a/tests/test_rules.py
+++ b/tests/test_rules.py
@@ -181,7 +181,7 @@
     gateway = started()
     send = sends(gateway.handle(100.0, request("r1")))[0]
     gateway.handle(100.5, ended("r1", send, i.Status.CONNECT_FAILED))
-    assert gateway.servers[send.backend].until > 101.0
+    assert not gateway.servers[send.backend].fit("read", 101.0)
 
 
 def test_who_refuses_all_tries_again() -> None:
@@ -200,14 +200,78 @@
 
 def test_a_restart_on_the_list_is_cold_again_and_forgets_health() -> None:
     gateway = started()
-    gateway.servers[1].failures, gateway.servers[1].until = 5, 200.0
+    gateway.servers[1].health[""] = (5, 200.0)
     gateway.handle(100.0, i.Membership(i.ListKind.FULL, (i.Backend(1, "a", started=99.0),)))
     assert set(gateway.servers) == {1}
-    assert gateway.servers[1].failures == 0
+    assert gateway.servers[1].fit("read", 100.0)
     sent = [bool(sends(gateway.handle(100.0, request(f"r{n}", customer=f"c{n}")))) for n in range(100)]
     assert sum(sent) < 40   # cold: a share of the requests only
 
 
+def passed_by(gateway: Gateway, backend: int, class_name: str, now: float) -> bool:
+    """Whether no request of the class goes to that backend, asked often and left no time to learn."""
+    got = [s.backend for n in range(60) for s in sends(gateway.handle(now, request(
+        f"q{class_name}{n}", class_name=class_name, customer=f"{class_name}{n}")))]
+    return bool(got) and backend not in got
+
+
+def play(gateway: Gateway, backend: int, status: i.Status, class_name: str, start: float) -> None:
+    """Answer many requests at once; all of that class at that backend end with the status instead."""
+    for n in range(120):
+        now, name = start + n * 0.05, f"p{n}"
+        cls = ("read", "book")[n % 2]
+        more = sends(gateway.handle(now, request(name, class_name=cls, customer=f"p{n}")))
+        for attempt in range(3):
+            if more:
+                ill = more[0].backend == backend and cls == class_name
+                more = sends(gateway.handle(now + 0.02, ended(name, more[0], status if ill else i.Status.OK,
+                                                              attempt)))
+
+
+@pytest.mark.parametrize("status", [i.Status.ERROR, i.Status.TIMEOUT])
+def test_a_class_that_fails_at_one_backend_is_served_by_the_others(status: i.Status) -> None:
+    gateway = started(settings(gateways=1))
+    play(gateway, 1, status, "book", 100.0)
+    assert passed_by(gateway, 1, "book", 106.05)
+    assert not passed_by(gateway, 1, "read", 106.05)   # what it serves well goes there as before
+
+
+def test_a_slow_request_is_no_evidence_against_a_backend_that_answers_others() -> None:
+    gateway = started()
+    for n in range(5):
+        gateway.pressure = 0.0
+        send = sends(gateway.handle(100.0 + n, request(f"r{n}", customer=f"c{n}")))[0]
+        gateway.servers[send.backend].heard.update({"": 100.5 + n, "read": 100.5 + n})
+        gateway.handle(100.9 + n, ended(f"r{n}", send, i.Status.TIMEOUT))
+    assert all(not s.suspect("read") for s in gateway.servers.values())
+
+
+def test_what_comes_after_the_aim_is_worth_nothing_and_is_not_waited_for() -> None:
+    gateway = started()
+    actions = gateway.handle(100.0, request("r1", remaining=4.0))
+    timer = next(a for a in actions if isinstance(a, i.SetTimer))
+    assert timer.delay <= SAFE.aim
+    kinds = [type(a) for a in gateway.handle(100.0 + timer.delay, i.TimerFired(timer.token))]
+    assert kinds == [i.Refuse, i.Cancel]     # answered at once, and the place is free
+
+
+def test_a_suspect_backend_is_tried_once_at_a_time_and_not_for_long() -> None:
+    gateway = started()
+    gateway.servers = {1: gateway.servers[1], **gateway.servers}
+    gateway.servers[1].health[""] = (2, 99.0)      # its ejection is over
+    got = [s for n in range(40) for s in sends(gateway.handle(100.0, request(f"r{n}", customer=f"c{n}")))]
+    assert [s.timeout < SAFE.aim for s in got if s.backend == 1 and s.timeout] == [True]
+    assert sum(s.backend == 1 for s in got) == 1
+
+
+def test_quick_answers_leave_more_room_for_what_is_out() -> None:
+    def out(pressure: float) -> int:
+        gateway = started()
+        gateway.pressure = pressure
+        return sum(bool(sends(gateway.handle(100.0, request(f"r{n}", customer=f"c{n}")))) for n in range(60))
+    assert out(0.0) > 1.5 * out(0.4)
+
+
 def test_a_common_slowdown_ejects_nobody_and_starts_no_retry_storm() -> None:
     gateway, sent = started(), 0
     for n in range(200):
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -33,12 +33,14 @@
 FADE = 6.0             # s: memory of pressure; who refuses all hears no answers and must try again
 SMOOTH = 0.1           # weight of a new sample in running means (about the last 20 answers)
 OUT = 4.0              # attempts a backend over all gateways: limit on what may be out, lumps aside
+EASE = 1.0             # times the limit: how much more may be out while answers come far within the aim
 RESERVE = 0.4          # of the limit: kept for customers with full stores, so shedding goes by quota
 CROSS_ZONE = 0.5       # requests: how much shorter a line must be to be worth leaving the zone
 SELDOM = 2.0           # s: a backend used less often says little by its line; one failure ejects it
 FAILURES = 2           # failures in a row that eject a backend
 EJECT = (1.0, 8.0)     # s: first ejection, doubled with each further failure up to the second figure
-EJECT_SHARE = 0.6      # of the fleet: most that may be ejected; beyond it nobody is (all are slow)
+TRIAL = 0.5            # of the aim: how long a suspect backend is waited for
+EJECT_SHARE = 0.7      # of the fleet: most that may be ejected; beyond it nobody is (all are slow)
 COLD_LOAD = 0.35       # of the fall multiple: load on a cold backend relative to a warm one
 RETRY = (0.1, 30.0)    # further attempts that may run twice: earned per first one; saved up by all gateways
 MARGIN = 0.02          # s: further attempts stop this long before a window or the client's time ends
@@ -120,13 +122,26 @@
 
     def __init__(self, entry: api.Backend, now: float) -> None:
         self.entry = entry
-        self.out, self.pace, self.failures = 0, 1.0, 0
-        self.until, self.since, self.gap = -inf, now, 0.0   # ejection; last send and time between sends
+        self.out, self.pace, self.since, self.gap = 0, 1.0, now, 0.0   # last send and time between sends
+        # By class, "" for all: failures in a row and the end of the ejection; the last answer of any kind.
+        self.health, self.heard = dict[str, tuple[int, float]](), dict[str, float]()
 
-    def failed(self, now: float) -> None:   # outlier ejection, longer with each failure in a row
-        self.failures += FAILURES if self.gap > SELDOM else 1   # met twice a minute: one is enough
-        if self.failures >= FAILURES:
-            self.until = now + min(EJECT[1], max(self.gap, EJECT[0] * 2.0 ** (self.failures - FAILURES)))
+    def failed(self, name: str, now: float) -> None:   # outlier ejection, longer with each failure in a row
+        count = self.health.get(name, (0, 0.0))[0] + (FAILURES if self.gap > SELDOM else 1)
+        length = min(EJECT[1], max(self.gap, EJECT[0] * 2.0 ** (count - FAILURES)))
+        self.health[name] = (count, now + length if count >= FAILURES else -inf)
+
+    def silent(self, name: str, sent: float, now: float) -> None:   # no answer to what was sent then
+        # One that answers others is not down, and one that answers this class is not unfit for it.
+        for part in ("", name):
+            if self.heard.get(part, -inf) < sent:
+                self.failed(part, now)
+
+    def suspect(self, name: str) -> int:   # failures in a row that concern this class
+        return max(self.health.get(part, (0, 0.0))[0] for part in ("", name))
+
+    def fit(self, name: str, now: float) -> bool:   # not ejected for this class
+        return all(self.health[part][1] <= now for part in ("", name) if part in self.health)
 
     def coldness(self, now: float, rules: api.Rules) -> float:   # share of a warm load; 0: warm
         age = max(0.0, now - self.entry.started)
@@ -193,7 +208,7 @@
 
     def choose(self, job: Work) -> Server | None:   # the lawful backend with the least wait
         ready = [s for s in self.servers.values() if s.entry.state is api.BackendState.READY]
-        pool = [s for s in ready if s.until <= self.now and (s.failures < FAILURES or not s.out)]
+        pool = [s for s in ready if s.fit(job.cls.name, self.now)]
         pool = pool if len(pool) >= (1.0 - EJECT_SHARE) * len(ready) else ready   # common cause: eject nobody
         ran, scope, tried = job.ran(), job.cls.scope, {s.entry.id for s, _ in job.attempts}
         if ran and job.cls.effect is api.Effect.KEYED and scope is not api.Scope.ALL:
@@ -219,7 +234,10 @@
             return
         unknown = api.RequestClass(event.class_name, event.remaining, event.remaining)   # as unsafe
         store = self.store(plan, event)
-        job = Work(event, self.classes.get(event.class_name, unknown), store, self.now + event.remaining)
+        cls = self.classes.get(event.class_name, unknown)
+        # An answer after the aim is worth nothing here: what it would hold is better given to another.
+        most = cls.aim if cls.late_worth <= 0.0 and not cls.aim_stretch and not cls.stream else inf
+        job = Work(event, cls, store, self.now + min(event.remaining, most))
         if not event.retry:   # a client's repeat is the same demand again, not more of it
             store.own, store.asked = store.own + event.units / DEMAND_PERIOD, store.asked + event.units
         fits = store.room(event.units, self.rng.random()) and self.capacity(store, event.units)
@@ -233,7 +251,7 @@
         store.guard -= event.units    # the ceiling goes by the guess and is not settled
         self.budget = min(self.saved, self.budget + RETRY[0])
         self.jobs[event.id] = job
-        self.arm(event.remaining - 2.0 * self.settings.tick, "deadline", event.id)
+        self.arm(job.end - self.now - 2.0 * self.settings.tick, "deadline", event.id)
         self.send(job, server)
 
     def advice(self, store: Store, units: float) -> float:   # how long until the store has the units
@@ -244,7 +262,9 @@
         full = max(units, store.plan.burst * store.part(store.own))
         lack = 1.0 - min(1.0, max(0.0, store.level / full)) if store.plan.rate else 0.0
         # A small part of what may be out comes in lumps: two deviations and one more are let through.
-        limit = OUT * len(self.servers) / self.settings.gateways * (1.0 - RESERVE * lack)
+        # Few slow requests among quick ones hold many places: with no time lost, they crowd nobody out.
+        ease = 1.0 + EASE * max(0.0, 1.0 - self.pressure / PRESSED_AT)
+        limit = OUT * len(self.servers) / self.settings.gateways * (1.0 - RESERVE * lack) * ease
         strain = STRAIN * max(0.0, self.pressure - PRESSED_AT) * (0.5 + lack)
         return self.out < limit + 2.0 * sqrt(limit) + 1.0 and self.rng.random() >= strain
 
@@ -252,7 +272,12 @@
         job.attempts.append((server, self.now))
         server.out, server.gap, server.since = server.out + 1, self.now - server.since, self.now
         self.out, job.store.open = self.out + 1, job.store.open + 1
-        self.actions.append(api.Send(job.request.id, server.entry.id))
+        failures, wait = server.suspect(job.cls.name), 0.0
+        if failures:   # one trial at a time, cut short while there is time for another backend
+            wait = TRIAL * min(job.cls.aim, job.end - self.now)
+            server.health.update({part: (n, self.now + wait) for part, (n, _) in server.health.items()
+                                  if part in ("", job.cls.name) and n >= FAILURES})
+        self.actions.append(api.Send(job.request.id, server.entry.id, wait))
 
     def further(self, job: Work) -> bool:   # one more, if rules, time and budget allow it
         ran, effect = job.ran(), job.cls.effect
@@ -271,14 +296,16 @@
             return
         server, job.ended[event.attempt] = job.attempts[event.attempt][0], event.status
         server.out, self.out, job.store.open = server.out - 1, self.out - 1, job.store.open - 1
-        self.learn(job, server, event)
+        self.learn(job, server, event, job.attempts[event.attempt][1])
         if event.closed or job.done:
             self.finish(job, answer=False)
         elif not job.out() and not self.further(job):
             self.finish(job, answer=True)
 
-    def learn(self, job: Work, server: Server, event: api.AttemptEnded) -> None:
+    def learn(self, job: Work, server: Server, event: api.AttemptEnded, sent: float) -> None:
         store, status, slow = job.store, event.status, event.latency / max(job.cls.aim, 1e-3)
+        if status in (api.Status.OK, api.Status.ERROR, api.Status.FULL):
+            server.heard.update({"": self.now, job.cls.name: self.now})
         if status is api.Status.OK:
             if event.closed and event.units:   # the first good answer settles
                 store.refresh(self.now)
@@ -286,12 +313,17 @@
                 least = FLOOR * job.request.units if beyond else 0.0
                 store.charge(max(event.units, least) - job.request.units)
                 self.later.update({store.number: None} if self.limits.peers else {})
-            server.failures, server.until = 0, -inf
+            server.health.pop("", None)
+            server.health.pop(job.cls.name, None)
             weight, ratio = SMOOTH * (1.0 + min(3.0, server.gap / SELDOM)), slow / max(1e-3, self.usual)
             server.pace += weight * (min(10.0, ratio) - server.pace)
             self.usual += 0.5 * SMOOTH * (slow - self.usual)
-        elif status in (api.Status.TIMEOUT, api.Status.CONNECT_FAILED, api.Status.RESET):
-            server.failed(self.now)
+        elif status is api.Status.ERROR:   # quick to fail, it would look the least busy of all
+            server.failed(job.cls.name, self.now)
+        elif status is api.Status.CONNECT_FAILED:
+            server.failed("", self.now)
+        elif status in (api.Status.TIMEOUT, api.Status.RESET):
+            server.silent(job.cls.name, sent, self.now)
         if status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
             self.strained(slow if status is api.Status.OK else max(slow, 1.0))
         if event.used is not None:   # what was used was asked
@@ -329,7 +361,7 @@
             self.actions.append(api.Subscribe())
         elif kind == "deadline" and job and not job.done and not job.streaming:
             for number in job.out():   # silent to the end: the same evidence as a time-out
-                job.attempts[number][0].failed(self.now)
+                job.attempts[number][0].silent(job.cls.name, job.attempts[number][1], self.now)
                 self.strained(1.0)
             self.finish(job, answer=True)
 
