Spend quotas once: a reserve beyond quota, slower refill, half even slices until heard

At fault in policy.Store: refresh() let the fleet's store rise at the whole rate at every gateway while others asked beyond the quota, so that the set spent up to twice its rate (worked out for two gateways that each ask twice the rate); part() took the own demand for all demand until the first reading; room() ran stores of customers beyond quota to nothing, where each late word is a unit beyond.

--- a/tests/test_information.py
+++ b/tests/test_information.py
@@ -166,6 +166,16 @@
     assert calls <= 1500   # asked were 6,000
 
 
+def test_a_call_is_made_for_what_matters_and_many_who_come_once_leave_nothing_behind() -> None:
+    gateway = started(settings(information=COUNTER))
+    for n in range(300):
+        gateway.handle(10.0 + n / 10.0, request(f"r{n}", 0.3, customer=f"c{n}"))   # a hundredth of the burst
+        assert not [a for a in ticks(gateway, 10.0 + n / 10.0, 0.1) if isinstance(a, i.Count)]
+    assert max(len(gateway.stores), len(gateway.fresh), len(gateway.later)) <= 250
+    gateway.handle(41.0, request("more", 4.0, customer="c299"))
+    assert call(gateway, 41.0).amount == pytest.approx(4.3)
+
+
 def test_a_refused_count_is_said_again_and_calls_slow_down() -> None:
     gateway = started(settings(information=COUNTER))
     gateway.handle(10.0, request("r0", 4.0))
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -9,11 +9,13 @@
 import sys
 import time
 from pathlib import Path
+from typing import Any
 
 import pytest
 
 from tests.limiter import PATIENCE, ROOT, Limiter, Listener, command, request
 
+SMALL: dict[str, Any] = {"tiers-of-service": [{"name": "basic", "refill": 2.0, "most-at-once": 16.0}]}
 GOOD = b"*3\r\n$5\r\nvalue\r\n$14\r\nused=37,cost=2\r\n$11\r\navg_ms=14.5\r\n"
 
 
@@ -263,7 +265,7 @@
 
 
 def test_demand_is_told_to_the_counter(tmp_path: Path) -> None:
-    with Limiter(tmp_path) as limiter:
+    with Limiter(tmp_path, **SMALL) as limiter:
         peers = [limiter.counter.accept() for _ in range(3)]
         agent = limiter.connect()
         agent.send(request(1))
@@ -294,7 +296,7 @@
 
 
 def test_sighup_moves_discovery_and_counter_with_nothing_lost(tmp_path: Path) -> None:
-    with Limiter(tmp_path) as limiter:
+    with Limiter(tmp_path, **SMALL) as limiter:
         old, _ = limiter.watch()
         limiter.tell(old, 42, limiter.entry(0))
         calls = [limiter.counter.accept() for _ in range(3)]
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -65,6 +65,7 @@
     """What a meeting gateway's note does to a store."""
     store.refresh(now)
     store.heard, store.others, store.fleet, store.memory, store.excess = now, others, fleet, 5.0, 1.0
+    store.met = now
 
 
 def test_slice_follows_demand_and_returns_to_even_in_silence() -> None:
@@ -72,6 +73,8 @@
     store.heard = LATE
     assert store.part(store.own) == pytest.approx(1 / 3)
     store.own, store.others = 8.0, 2.0
+    assert 1 / 3 < store.part(store.own) < 0.7     # others are heard, but not yet of this customer
+    store.met = LATE
     assert store.part(store.own) == pytest.approx(0.8, abs=0.05)
     store.refresh(LATE + 5.0)
     assert store.part(store.own) == pytest.approx(1 / 3)
@@ -124,6 +127,24 @@
     assert not store.room(4.0, 0.0)   # the fleet does not hold it
 
 
+@pytest.mark.parametrize(("cost", "admitted"), [(0.0, True), (1.2, False)])
+def test_a_customer_beyond_its_quota_keeps_a_reserve_where_excess_costs(cost: float, admitted: bool) -> None:
+    store = member(i.Plan("p", rate=10.0, burst=30.0, over_cost=cost))
+    word(store, LATE, 20.0, 3.0)
+    store.own, store.level = 10.0, 1.2
+    assert store.room(1.0, 0.0) is admitted
+    store.own = store.others = 1.0                 # inside its quota it may use all there is
+    assert store.room(1.0, 0.0)
+
+
+def test_what_is_left_rises_slower_while_others_ask_beyond_the_quota() -> None:
+    store = member()
+    word(store, LATE, 40.0, 0.0)
+    store.own = 4.0
+    store.refresh(LATE + 0.2)
+    assert 0.0 < store.fleet < 0.2 * 10.0 * 0.6    # under the whole rate, of which most is not ours
+
+
 @pytest.mark.parametrize("gateways", [3, 30, 300])
 def test_hundreds_that_lend_at_once_do_not_oversell(gateways: int) -> None:
     """Slices of hundreds hold less than one request; all that ask at once draw lots."""
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -17,11 +17,13 @@
 PRIOR = 0.1            # of the rate: demand the set is thought to have at least; new customers split evenly
 HEARD_FOR = 2.0        # s: carriers silent for longer are not believed and slices go back to even
 SPARE = 0.4            # of the burst beyond a usual request: level at which the fleet is kept when all ask
+KEEP = 0.1             # of the burst: kept in the store of a customer that asks beyond its quota
 CAUTION = 2.0          # times the quota is thought used, at least, where only demand is told and no level
 HOLD = (5.0, 40.0)     # s: memory of told demand; long where a customer is met seldom and nobody calls
 START_LEVEL = 0.5      # of the burst: level after a start, for what earlier lives or peers may have spent
 CALLS = (0.5, 50.0, 600.0)   # counter calls a second: least, most, and what all gateways start with
-FORGET = 60.0          # s: idle customers are dropped (their stores are full again long before)
+FORGET = 20.0          # s: idle customers are dropped (their stores are full again before); over a WINDOW
+WORTH_TELLING = (0.05, 0.3)   # of the burst untold, or of the rate asked: from either a call is worth it
 TICK = 0.1             # s: pace of notes and upkeep; well under the demand period
 SPEAK_EVERY = 0.5      # s: least time between counter calls for one customer, and between notes unasked
 ACTIVE = (15.0, 4.0)   # s: who asked within the first is told each round, the whole set every second
@@ -57,6 +59,7 @@
         self.lump, self.spare, self.excess = 0.0, 0.0, CAUTION   # usual request; SPARE; metered use
         self.memory, self.gathers, self.heard, self.called = DEMAND_PERIOD, False, -inf, -inf
         self.window, self.total, self.read = -1, 0.0, now   # last reading of the counter
+        self.met = -inf                                     # last word of this customer in particular
         self.open, self.heard_from = 0, dict[int, tuple[int, float, float, float]]()
         # A restart forgets what was spent: start part full and fill as if since the start of this life.
         fill = min(1.0, START_LEVEL + (now - born) * plan.rate / max(plan.burst, 1e-9))
@@ -77,7 +80,9 @@
     def part(self, own: float) -> float:   # of the quota by demand; the even slice while nothing is heard
         prior = PRIOR * self.plan.rate + 1e-9
         heard = self.at - self.heard <= HEARD_FOR
-        return (own + prior / self.count) / (own + self.others + prior) if heard else 1.0 / self.count
+        # Own demand rises before others are heard of: each would take the whole store for its own.
+        known = (own + prior / self.count) / (own + self.others + prior) if heard else 1.0 / self.count
+        return known if self.at - self.met <= HEARD_FOR else 0.5 * (known + 1.0 / self.count)
 
     def refresh(self, now: float) -> None:   # fill for the time passed; a moving part mints nothing
         dt, plan, own, self.at = max(0.0, now - self.at), self.plan, self.own, now
@@ -89,7 +94,7 @@
             self.fleet += (plan.rate - (0.0 if self.gathers else self.others)) * dt
         else:
             step = (self.lump + self.spare - self.fleet) * (1.0 - exp(-dt * self.others / self.spare))
-            self.fleet += min(plan.rate * dt, step)
+            self.fleet += min(plan.rate * (0.5 + 0.5 * self.part(own)) * dt, step)
         self.fleet = min(plan.burst, self.fleet)
         mean = own * (1.0 - fade) * DEMAND_PERIOD / dt if dt > 0 else own   # own demand over the time passed
         self.level += plan.rate * self.part(mean) * dt
@@ -103,14 +108,22 @@
         open_most = max(1, int(plan.open_limit * part)) if plan.open_limit else inf
         if self.open >= open_most or (plan.ceiling_rate > 0 and units > self.guard):
             return False
-        if plan.rate <= 0 or units <= self.level:
+        # Beyond its quota a customer lives from hand to mouth: what is told late would be spent twice.
+        over = min(1.0, max(0.0, (self.own + self.others) / max(1e-9, plan.rate) - 1.0))
+        keep = KEEP * min(1.0, plan.over_cost) * over * plan.burst
+        if plan.rate <= 0 or units + keep * part <= self.level:
             return True
         if self.at - self.heard > HEARD_FOR:   # an even slice that is full admits one; the rest is debt
             return min(units, plan.burst * part * 0.999) <= self.level
         # Small slices: what the fleet holds is lent by lot, so that not all lend the same units at once.
         lot = chance * self.excess * self.others / plan.rate * self.spare
         owes = self.excess > 1.0 and self.level <= 0.0   # no word of the level: debt is all there is to go by
-        return units <= self.fleet and lot <= self.fleet - units and not owes
+        return lot + keep <= self.fleet - units and not owes
+
+    def telling(self, now: float) -> bool:   # whether a counter call would tell what matters
+        untold, demand = self.asked - self.told, self.own + self.others
+        matters = untold >= WORTH_TELLING[0] * self.plan.burst or demand >= WORTH_TELLING[1] * self.plan.rate
+        return now - self.called >= SPEAK_EVERY and matters
 
     def charge(self, units: float) -> None:   # declared ahead or settled; an overrun becomes debt
         self.level, self.charged = self.level - units, self.charged + units
@@ -327,7 +340,8 @@
         if status in (api.Status.OK, api.Status.FULL, api.Status.TIMEOUT):
             self.strained(slow if status is api.Status.OK else max(slow, 1.0))
         if event.used is not None:   # what was used was asked
-            self.heard, store.excess = self.now, max(CAUTION, event.used)
+            self.heard = store.met = self.now
+            store.excess = max(CAUTION, event.used)
             store.others = max(store.others, event.used * store.plan.rate - store.own)
 
     def strained(self, slow: float) -> None:   # an answer time over the aim; rare ones tell more
@@ -387,14 +401,15 @@
         if beat:
             self.noted = self.now
             self.stores = {n: s for n, s in self.stores.items() if self.now - s.seen <= FORGET or s.open}
-            self.fresh, self.later = self.fresh | self.later, {}
+            # Most customers come once: what is kept of them must have an end, or memory and CPU grow all day.
+            self.fresh, self.later = {n: None for n in self.fresh | self.later if n in self.stores}, {}
         if self.limits.peers:
             self.allowance = min(intake, self.allowance + TELL_SHARE * intake * TICK)
             self.speak(beat)
         elif self.settings.information.counter:
             # A crowded counter serves nobody: calls are paced by its answers, the most telling ones first.
             self.call_room = min(self.call_rate, self.call_room + self.call_rate * TICK)
-            due = [s for s in map(self.stores.get, self.fresh) if s and self.now - s.called >= SPEAK_EVERY]
+            due = [s for s in map(self.stores.get, self.fresh) if s and s.telling(self.now)]
             due.sort(key=lambda s: (s.told - s.asked) / max(s.plan.rate, 1e-9))
             for store in due[:int(self.call_room)]:
                 name = store.number << 24 | int(self.now / WINDOW + store.number % 1000 / 1000.0) % 2**24
@@ -447,6 +462,7 @@
         for entry in [e for e in note.entries if e.plan < len(self.settings.plans)]:
             store = self.known(entry.number, self.settings.plans[entry.plan])
             store.refresh(self.now)
+            store.met = self.now
             if not entry.told:
                 self.gather(store, sender, note.life, entry)
             elif not store.gathers and (not store.members or sender in store.members[:MEETINGS]):
@@ -474,6 +490,7 @@
             store.told, self.later[number] = store.told - mine, None   # nothing was added: say it again later
         elif store and good and isfinite(event.total):   # a timed-out add may count; others seem larger: safe
             store.refresh(self.now)
+            store.met = self.now
             self.heard, window, since, before = self.now, event.name % 2**24, store.read, store.total
             if window != store.window or event.total < before:
                 since, before = self.now - (self.now / WINDOW + number % 1000 / 1000.0) % 1.0 * WINDOW, 0.0
