Keep counter calls alive, count unanswered ones as our own, trust readings over the meter

At fault: upkeep() capped call_room at call_rate, and below one call a second int(call_room) is 0 for good. on_counter() forgot the units of a call that timed out, so the next total showed them as demand of others (spoilt answers: always added). learn() let the meter, which tells of 2 s up to 3.4 s ago, raise the others' demand over a reading of the counter half a second old. Now one call can always be saved up, unanswered units are kept by window until the next reading, and the meter speaks only where the counter has been silent for 2 s.

--- a/tests/test_information.py
+++ b/tests/test_information.py
@@ -185,6 +185,29 @@
     assert call(gateway, 10.6).amount == pytest.approx(4.0)
 
 
+def test_calls_go_on_however_often_they_failed() -> None:
+    gateway = started(settings(information=COUNTER))
+    gateway.call_rate = gateway.call_room = 0.5
+    gateway.handle(10.0, request("r0", 4.0))
+    assert [a for a in ticks(gateway, 10.0, 4.0) if isinstance(a, i.Count)]
+
+
+def test_a_call_without_an_answer_is_not_taken_for_the_demand_of_others() -> None:
+    gateway = started(settings(information=COUNTER))
+    for n, (status, total) in enumerate([(i.Status.TIMEOUT, 0.0), (i.Status.OK, 8.0)]):
+        gateway.handle(11.0 + n, request(f"r{n}", 4.0))
+        gateway.handle(11.01 + n, i.CounterReply(call(gateway, 11.0 + n).name, status, total))
+    assert only_store(gateway).others == 0.0
+
+
+def test_a_reading_of_the_counter_is_newer_than_the_meter() -> None:
+    gateway = started(settings(information=COUNTER))
+    sent = sends(gateway.handle(11.0, request("r0", 4.0)))[0]
+    gateway.handle(11.5, i.CounterReply(call(gateway, 11.0).name, i.Status.OK, 4.0))
+    gateway.handle(11.6, ended("r0", sent, i.Status.OK, units=4.0, used=2.0))   # a spell that is over
+    assert only_store(gateway).others < 1.0
+
+
 def test_counter_replies_that_make_no_sense() -> None:
     gateway = started(settings(information=COUNTER))
     gateway.handle(10.0, request("r0", 4.0))
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -21,7 +21,7 @@
 CAUTION = 2.0          # times the quota is thought used, at least, where only demand is told and no level
 HOLD = (5.0, 40.0)     # s: memory of told demand; long where a customer is met seldom and nobody calls
 START_LEVEL = 0.5      # of the burst: level after a start, for what earlier lives or peers may have spent
-CALLS = (0.5, 50.0, 600.0)   # counter calls a second: least, most, and what all gateways start with
+CALLS = (0.5, 120.0, 200.0)  # counter calls a second: least, most, and what all gateways start with
 FORGET = 20.0          # s: idle customers are dropped (their stores are full again before); over a WINDOW
 WORTH_TELLING = (0.05, 0.3)   # of the burst untold, or of the rate asked: from either a call is worth it
 TICK = 0.1             # s: pace of notes and upkeep; well under the demand period
@@ -59,6 +59,7 @@
         self.lump, self.spare, self.excess = 0.0, 0.0, CAUTION   # usual request; SPARE; metered use
         self.memory, self.gathers, self.heard, self.called = DEMAND_PERIOD, False, -inf, -inf
         self.window, self.total, self.read = -1, 0.0, now   # last reading of the counter
+        self.unsure = (-1, 0.0)                             # window and units of calls that got no answer
         self.met = -inf                                     # last word of this customer in particular
         self.open, self.heard_from = 0, dict[int, tuple[int, float, float, float]]()
         # A restart forgets what was spent: start part full and fill as if since the start of this life.
@@ -342,7 +343,8 @@
         if event.used is not None:   # what was used was asked
             self.heard = store.met = self.now
             store.excess = max(CAUTION, event.used)
-            store.others = max(store.others, event.used * store.plan.rate - store.own)
+            if store.window < 0 or self.now - store.read > HEARD_FOR:   # the counter knows it newer
+                store.others = max(store.others, event.used * store.plan.rate - store.own)
 
     def strained(self, slow: float) -> None:   # an answer time over the aim; rare ones tell more
         weight = max(SMOOTH, min(0.25, 0.5 * (self.now - self.answered)))
@@ -408,7 +410,8 @@
             self.speak(beat)
         elif self.settings.information.counter:
             # A crowded counter serves nobody: calls are paced by its answers, the most telling ones first.
-            self.call_room = min(self.call_rate, self.call_room + self.call_rate * TICK)
+            # One may always be saved up: a room that never holds a whole call would end them for good.
+            self.call_room = min(max(1.0, self.call_rate), self.call_room + self.call_rate * TICK)
             due = [s for s in map(self.stores.get, self.fresh) if s and s.telling(self.now)]
             due.sort(key=lambda s: (s.told - s.asked) / max(s.plan.rate, 1e-9))
             for store in due[:int(self.call_room)]:
@@ -488,12 +491,17 @@
         self.call_rate = min(CALLS[1], 1.05 * self.call_rate) if good else max(CALLS[0], 0.8 * self.call_rate)
         if store and event.status in NEVER_RAN:
             store.told, self.later[number] = store.told - mine, None   # nothing was added: say it again later
-        elif store and good and isfinite(event.total):   # a timed-out add may count; others seem larger: safe
+        elif store and good and isfinite(event.total):
             store.refresh(self.now)
             store.met = self.now
             self.heard, window, since, before = self.now, event.name % 2**24, store.read, store.total
             if window != store.window or event.total < before:
                 since, before = self.now - (self.now / WINDOW + number % 1000 / 1000.0) % 1.0 * WINDOW, 0.0
+            mine += store.unsure[1] if store.unsure[0] == window else 0.0
             gap, rise = max(0.0, self.now - since), max(0.0, event.total - before - mine)
             store.others = (rise + store.others * DEMAND_PERIOD) / (gap + DEMAND_PERIOD)
             store.window, store.total, store.read = window, event.total, self.now
+            store.unsure = (-1, 0.0)
+        elif store:   # late or spoilt, it was most likely added: our own units, not demand of others
+            window = event.name % 2**24
+            store.unsure = (window, mine + (store.unsure[1] if store.unsure[0] == window else 0.0))
