Free places of who only says PING, and of idle user agents after 2 s in a crowd

A count of who sat in the table showed 178 of 240 user agents that had said PING and nothing else, and before and after them about 125 that had asked once, which is the third of 384 descriptors that user agents may hold: they could not open another for their next request. At fault in front.py: spare() held who had said PING for one that asked, so a full table turned 360 to 490 new connections away in a second, and look() kept who had asked for 4 s however many there were. Now who has asked nothing makes room at once, or 0.05 s after connecting if it has said nothing, and from a third of the places on idle ones go after 2 s.

--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -25,11 +25,12 @@
 MOST_PLACES = 64       # commands of one user agent that are not answered; then it is not read from
 OVERHEAD = 2048        # bytes that a request takes beside its own
 ATTENTION = (b"CLIENT", b"SELECT")
-SWEEP = 0.2            # s: between looks at who says nothing
+SWEEP = 0.1            # s: between looks at who says nothing
 SILENT = 2.3           # s: from connecting to the first whole command, or from the rest of one to its end
 KEPT = 4.0             # s: with nothing open, for a user agent that has asked; it would come again
-IDLE = 2.0             # s: the same where its place is wanted; before, it may be about to ask
-NEW = 0.1              # s: the same for one that has said nothing, as usual ones ask as they connect
+IDLE = 2.0             # s: the same where places are wanted; before, it may be about to ask
+NEW = 0.05             # s: the same for one that has said nothing, as usual ones ask as they connect
+CROWDED = 0.35         # of the places: from here on they are wanted; user agents have a limit of their own
 LINGER = 1.0           # s: from an error line that ends a connection to its close
 DISCARD = 256 * 1024   # bytes that are read meanwhile and thrown away
 MOST_GOING = 24        # connections dropped to make room whose descriptors are not free yet
@@ -67,6 +68,7 @@
         self._ended = False         # all is said; what still comes is thrown away
         self._dropped = False       # its slot was given to another
         self._spoken = False        # a whole command has come
+        self._asked = False         # a request has come; whoever says PING alone is not served by staying
         self._since = 0.0           # when it last did something of use, or was last answered
         self._discarded = 0         # bytes thrown away
         self._held = 0              # bytes of answers that wait for earlier ones, or for the user agent
@@ -147,13 +149,13 @@
     def spare(self, now: float) -> float:
         """How well its place could be used by another; 0: not at all."""
         idle = self.idle(now)
-        if self._ended:
+        if self._ended or (self._spoken and not self._asked and not self._places):
             return 2e6 + idle
-        if not self._spoken:
+        if not self._asked:
             return 1e6 + idle if idle > NEW else 0.0
         return idle if idle > IDLE else 0.0
 
-    def look(self, now: float) -> None:
+    def look(self, now: float, kept: float) -> None:
         """Guards the table against those that say nothing, or never end what they say."""
         idle = self.idle(now)
         if self._ended or not self.flushed:
@@ -164,7 +166,7 @@
         elif self._parser.held():
             if idle > SILENT:
                 self._garbled("a command was begun and not ended")
-        elif idle > (KEPT if self._spoken else SILENT) and not unread(self.transport):
+        elif idle > (kept if self._asked else SILENT) and not unread(self.transport):
             self.finish()
 
     def drop(self) -> None:
@@ -201,7 +203,7 @@
             log.say("user agent wrong", str(fault))
             self._say(resp.problem(f"ERR {fault}"))
             return
-        place = Place()
+        place, self._asked = Place(), True
         self._places.append(place)
         size = OVERHEAD + len(call.before) + len(call.after) + len(call.body or b"")
         place.due = core.take(Offer(request, clock.now() + request.remaining, call, size))
@@ -279,6 +281,7 @@
         self.core, self.reader, self._deadlines = core, Reader(settings), deadlines
         self.held, self.most_held = 0, most_held   # bytes of answers not taken yet; closing begins beyond
         self._input, self._most_input = 0, most_input   # bytes of commands that are not whole, likewise
+        self._most = most
         self.agents: Table[UserAgent] = Table(most)
         self.going = 0
         self.closing = False
@@ -309,8 +312,11 @@
 
     def _sweep(self, _: int) -> None:
         now = clock.now()
+        # User agents keep a bounded number of connections: while we hold one that has no more use, they
+        # cannot open another for the next request.
+        kept = IDLE if len(self.agents) >= CROWDED * self._most else KEPT
         for agent in self.agents.all():
-            agent.look(now)
+            agent.look(now, kept)
         self._deadlines.at(now + SWEEP, self._sweep)
 
     def close(self) -> None:
