Answer requests in tests only once they were read, as an early answer is noise now

Seen: the crowd test failed in 3 of 11 runs. The test's server answered as it accepted; since the limiter leaves a connection that brings bytes before it was asked, the request then met no server. Three older tests did the same.

--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -94,6 +94,12 @@
     def accept(self) -> Peer:
         return Peer(self.sock.accept()[0])
 
+    def serve(self, answer: bytes) -> None:
+        """Take a connection, its first command, and answer that: an answer ahead of it would be noise."""
+        peer = self.accept()
+        peer.words()
+        peer.send(answer)
+
     def quiet(self, seconds: float) -> bool:
         """Whether nobody connects for so long."""
         return not select.select([self.sock], [], [], seconds)[0]
--- a/tests/test_limiter.py
+++ b/tests/test_limiter.py
@@ -161,6 +161,7 @@
         usual, begun = limiter.connect(), time.monotonic()
         usual.send(request(1))
         server = limiter.servers[0].accept()
+        server.words()
         silent, half = limiter.connect(), limiter.connect()
         half.send(request(2)[:50])
         assert half.line().startswith(b"-ERR Protocol error")
@@ -183,6 +184,7 @@
         usual = limiter.connect()
         usual.send(request(1))
         server = limiter.servers[0].accept()
+        server.words()
         idle = [limiter.connect() for _ in range(15)]      # all the room there is
         for agent in idle:
             agent.send(command(b"PING"))
@@ -201,7 +203,7 @@
     with Limiter(tmp_path, sockets=64) as limiter:
         agents = [limiter.connect() for _ in range(8)]     # half of the room
         agents[0].send(request(1))
-        limiter.servers[0].accept().send(GOOD)
+        limiter.servers[0].serve(GOOD)
         assert agents[0].bulk() == b"value"
         answered = time.monotonic()
         for agent in agents[1:]:                           # these stay, as each has something open
@@ -275,7 +277,7 @@
             if listener.sock in select.select([agent.sock, listener.sock], [], [], PATIENCE)[0]:
                 break
             assert agent.line().startswith(b"-BUSY ")
-        listener.accept().send(GOOD)
+        listener.serve(GOOD)
         assert agent.bulk() == b"value"
 
 
@@ -302,7 +304,7 @@
         peers = [limiter.counter.accept() for _ in range(3)]
         agent = limiter.connect()
         agent.send(request(1))
-        limiter.servers[0].accept().send(GOOD)
+        limiter.servers[0].serve(GOOD)
         ready = select.select([peer.sock for peer in peers], [], [], PATIENCE)[0]
         verb, name, amount, life = next(peer for peer in peers if peer.sock in ready).words()
         assert (verb, amount, life) == (b"INCRTTL", b"1.000000", b"20000")
