--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -11,6 +11,7 @@
 from twisted.internet.testing import MemoryReactorClock, StringTransport
 
 from tests.limiter import SETTINGS, command, request
+from thymeflow import Gateway
 from thymeflow import interface as i
 from thymeflow.drill import settings_from
 from thymeflow.net import clock, resp
@@ -330,7 +331,7 @@
 
 @pytest.mark.parametrize("raises", [True, False])
 def test_a_request_gets_one_answer_also_from_a_module_out_of_order(world: World, raises: bool) -> None:
-    core = Core(settings_from(SETTINGS), 1, world.deadlines, 10**6)
+    core = Core(settings_from(SETTINGS), Gateway(settings_from(SETTINGS), 1), world.deadlines, 10**6)
     core._gateway = Odd(raises)   # type: ignore[assignment]
     answers: list[Answer] = []
     call, told = Reader(settings_from(SETTINGS)).read(words(request(1, wait=500)))
--- /dev/null
+++ b/tests/test_state.py
@@ -0,0 +1,214 @@
+"""Snapshots: what they mean at a start, that none mints units, and that no broken one is ever believed."""
+
+from __future__ import annotations
+
+import os
+import resource
+from pathlib import Path
+from typing import Any
+
+import msgspec
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.helpers import PLAN, fleet, request, sends, settings
+from thymeflow import Gateway
+from thymeflow import interface as i
+from thymeflow.net.config import Address
+from thymeflow.state import keep, meaning, record
+
+SITE = record.site_of(settings())
+WHERE = {n: Address("127.0.0.1", 7000 + n) for n in range(1, 5)}
+
+
+def gateway(start: float | None = None, **changes: Any) -> Gateway:
+    made = Gateway(settings(**changes), 1) if start is None else Gateway(settings(**changes), 1, start)
+    made.handle(0.0, i.Membership(i.ListKind.CACHED, fleet(), 7))
+    return made
+
+
+def spend(one: Gateway, now: float, seconds: float, pace: float, name: str = "r") -> tuple[float, float]:
+    """Ask at a pace; the units sent on and the time at the end."""
+    sent = 0.0
+    for n in range(int(seconds * pace)):
+        now += 1.0 / pace
+        out = sends(one.handle(now, request(f"{name}{now:.6f}-{n}")))
+        sent += len(out)
+        for send in out:
+            one.handle(now, i.AttemptEnded(send.id, 0, send.backend, i.Status.OK, 0.01, closed=True, units=1.0))
+    return sent, now
+
+
+def snapshot(one: Gateway, now: float, final: bool = True) -> record.Snapshot:
+    return meaning.remember(one, "n0", "life", now, final, 7, WHERE)
+
+
+def again(found: record.Snapshot, now: float, **changes: Any) -> Gateway:
+    fresh = gateway(**changes)
+    meaning.recall(fresh, found, now)
+    return fresh
+
+
+def test_what_is_remembered_survives_its_bytes() -> None:
+    one = gateway()
+    spend(one, 10.0, 3.0, 20.0)
+    found = snapshot(one, 13.0)
+    assert record.unpack(record.pack(found)) == found
+    (store,) = again(found, 13.0).stores.values()
+    (before,) = one.stores.values()
+    for name in ("level", "fleet", "own", "others", "asked", "charged", "told", "lump", "count", "members", "window"):
+        assert getattr(store, name) == pytest.approx(getattr(before, name)), name
+
+
+@given(st.floats(0.0, 6.0), st.floats(0.5, 60.0), st.floats(0.0, 25.0), st.booleans(), st.integers(1, 4))
+def test_no_number_of_restarts_mints_units(busy: float, pace: float, pause: float, final: bool, lives: int) -> None:
+    # One limiter that is the customer's whole set: what it may ever send on is burst + rate x time.
+    one, now, sent = gateway(gateways=1, information=i.Information(max_units=4.0, settles=True)), 10.0, 0.0
+    begun = now
+    for life in range(lives):
+        units, now = spend(one, now, busy, pace, f"l{life}-")
+        sent += units
+        found = snapshot(one, now, final)
+        now += pause
+        one = again(found, now, gateways=1, information=i.Information(max_units=4.0, settles=True))
+    units, now = spend(one, now, 4.0, 40.0, "last-")
+    assert sent + units <= PLAN.burst + PLAN.rate * (now - begun) + 1.0
+
+
+def test_a_crash_charges_what_may_have_been_spent_since() -> None:
+    one = gateway()
+    _, now = spend(one, 10.0, 1.0, 8.0)
+    found = snapshot(one, now, final=False)
+    (final,), (crashed,) = again(snapshot(one, now), now + 1.5).stores.values(), again(found, now + 1.5).stores.values()
+    (before,) = one.stores.values()
+    assert crashed.level == pytest.approx(max(final.level - before.own * 1.5, 0.0), abs=1e-6)
+    assert crashed.level < final.level and crashed.guard <= 0.0
+
+
+def test_debt_stays_debt_and_a_smaller_burst_holds() -> None:
+    one = gateway()
+    spend(one, 10.0, 0.5, 4.0)
+    (store,) = one.stores.values()
+    store.level = -3.0
+    (kept,) = again(snapshot(one, store.at), store.at).stores.values()
+    assert kept.level == pytest.approx(-3.0)
+    store.level = store.fleet = 29.0
+    less = (i.Plan("plain", rate=10.0, burst=6.0),)
+    (kept,) = again(snapshot(one, store.at), store.at, plans=less).stores.values()
+    assert kept.level <= 6.0 and kept.fleet <= 6.0
+    assert again(snapshot(one, store.at), store.at, plans=(i.Plan("other", 1.0, 2.0),)).stores == {}
+
+
+def test_a_call_that_was_out_counts_as_perhaps_added() -> None:
+    one = gateway()
+    spend(one, 10.0, 0.5, 4.0)
+    (store,) = one.stores.values()
+    one.calls[store.number << 24 | 5] = (store.number, 3.0)
+    (kept,) = again(snapshot(one, 11.0), 11.0).stores.values()
+    assert kept.unsure == (5, 3.0)
+
+
+def test_health_is_remembered_of_the_same_life_only() -> None:
+    one = gateway()
+    one.servers[1].health["read"] = (3, 100.0)
+    one.servers[2].health["read"] = (3, 100.0)
+    found = snapshot(one, 60.0)
+    fresh = Gateway(settings(), 1)
+    fresh.handle(60.0, i.Membership(i.ListKind.CACHED, (*fleet()[:1], i.Backend(2, "b", started=59.0))))
+    assert meaning.health(fresh, found, 60.0) == 1
+    assert not fresh.servers[1].fit("read", 61.0) and fresh.servers[2].fit("read", 61.0)
+
+
+def test_the_newer_list_holds() -> None:
+    found, old = snapshot(gateway(), 1.0), meaning.listed(snapshot(gateway(), 1.0))
+    assert meaning.newer(found, old) is old
+    older = type(old)(i.Membership(i.ListKind.CACHED, old.membership.backends[:1], 3), {1: WHERE[1]})
+    assert len(meaning.newer(found, older).membership.backends) == 4
+
+
+def test_late_charges_count_once_and_never_fill_beyond_the_slice() -> None:
+    one = gateway()
+    spend(one, 10.0, 0.5, 4.0)
+    found, since = snapshot(one, 10.5), meaning.Since(one)
+    successor = again(found, 10.5)
+    sent, _ = spend(one, 10.5, 0.5, 4.0, "late")
+    late = since.units()
+    (store,) = successor.stores.values()
+    before = store.level
+    assert meaning.charge_late(successor, late) == 1 and store.level == pytest.approx(before - sent)
+    assert meaning.charge_late(successor, {store.number: -1e6, 12345: 1.0}) == 1
+    assert store.level <= PLAN.burst
+
+
+def test_a_set_that_grows_shrinks_slices_and_one_that_shrinks_fills_none() -> None:
+    one = gateway()
+    spend(one, 10.0, 0.5, 4.0)
+    (store,) = one.stores.values()
+    store.level = 6.0
+    one.handle(10.6, i.Resized(6))
+    one.handle(10.6, request("x", spread=6))
+    assert store.count == 6 and store.level <= 3.0 + PLAN.rate * 0.2
+    before = store.level
+    one.handle(10.6, i.Resized(2))
+    one.handle(10.6, request("y", spread=2))
+    assert store.count == 2 and store.level <= before
+    assert one.settings.gateways == 2
+
+
+def test_one_that_joins_starts_empty() -> None:
+    one = gateway(start=0.0)
+    assert not sends(one.handle(0.001, request("a", units=2.0)))
+    assert sends(gateway().handle(0.001, request("a", units=2.0)))
+
+
+def test_a_snapshot_cut_at_any_byte_is_refused() -> None:
+    one = gateway()
+    spend(one, 10.0, 0.3, 10.0)
+    data = record.pack(snapshot(one, 11.0))
+    for end in range(len(data)):
+        with pytest.raises(record.SnapshotError):
+            record.unpack(data[:end])
+    for place in range(0, len(data), 7):
+        with pytest.raises(record.SnapshotError):
+            record.unpack(data[:place] + bytes([data[place] ^ 0x11]) + data[place + 1:])
+
+
+@pytest.mark.parametrize(("change", "why"), [
+    ({"taken": 100.0}, "future"), ({"taken": -100.0}, "100.0 s old"), ({"name": "n7"}, "limiter 'n7'"),
+    ({"site": "feed"}, "another site")])
+def test_foreign_old_and_future_ones_are_refused_with_one_line(change: dict[str, Any], why: str) -> None:
+    found = msgspec.structs.replace(snapshot(gateway(), 0.0), **change)
+    with pytest.raises(record.SnapshotError, match=why):
+        record.believed(record.unpack(record.pack(found)), SITE, "n0", 0.0, 30.0)
+
+
+def test_values_that_are_none_are_named() -> None:
+    one = gateway()
+    spend(one, 10.0, 0.3, 10.0)
+    found = snapshot(one, 11.0)
+    huge = msgspec.structs.replace(found, stores=(msgspec.structs.replace(found.stores[0], level=1e300),))
+    with pytest.raises(record.SnapshotError, match=r"stores\[0\].level"):
+        record.unpack(record.pack(huge))
+    body = record.pack(found).replace(b"thymeflow-snapshot 1 ", b"thymeflow-snapshot 2 ", 1)
+    with pytest.raises(record.SnapshotError, match="version 2"):
+        record.unpack(body)
+
+
+def test_the_file_is_written_whole_or_not_at_all(tmp_path: Path) -> None:
+    path = tmp_path / "n0.state"
+    keep.write(path, b"first")
+    before = resource.getrlimit(resource.RLIMIT_FSIZE)
+    import signal
+    ignored = signal.signal(signal.SIGXFSZ, signal.SIG_IGN)
+    try:
+        resource.setrlimit(resource.RLIMIT_FSIZE, (1000, before[1]))   # as a disk that is full half way
+        with pytest.raises(OSError):
+            keep.write(path, b"x" * 5000)
+    finally:
+        resource.setrlimit(resource.RLIMIT_FSIZE, before)
+        signal.signal(signal.SIGXFSZ, ignored)
+    assert keep.read(path) == b"first" and os.listdir(tmp_path) == ["n0.state"]
+    assert keep.read(tmp_path / "none") is None
+    with pytest.raises(record.SnapshotError):
+        keep.read(tmp_path)
--- a/tests/test_store.py
+++ b/tests/test_store.py
@@ -11,7 +11,7 @@
 
 from tests.helpers import CAPPED, PLAN, ended, only_store, request, sends, settings, started
 from thymeflow import interface as i
-from thymeflow.policy import Store
+from thymeflow.policy import START_LEVEL, Store
 
 LATE = 100.0   # s after the start: stores made then are full
 
@@ -54,7 +54,7 @@
 
 def member(plan: i.Plan = PLAN, now: float = LATE, spread: int = 3, number: int = 1) -> Store:
     """A store of a customer whose requests come through some gateways; nothing heard yet."""
-    store = Store(plan, number, now, 0.0)
+    store = Store(plan, number, now, 0.0, START_LEVEL)
     store.join(0, spread, max(3, spread), 0.0)
     store.lump = 1.0
     store.refresh(now)
--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -1,4 +1,4 @@
-"""The real limiter: reads its configuration, wires the parts together and runs the reactor."""
+"""The platform's start, with nothing imported that it does not use; sub-commands go to `cli`."""
 
 from __future__ import annotations
 
@@ -7,51 +7,7 @@
 import sys
 from typing import Any
 
-from thymeflow.net import clock, config, log
-from thymeflow.net.core import Core
-from thymeflow.net.counter import Counter
-from thymeflow.net.discovery import Discovery
-from thymeflow.net.front import Front
-from thymeflow.net.lifecycle import Lifecycle
-from thymeflow.net.reload import Reload
-from thymeflow.net.upstream import Upstream
-
-AGENT_SHARE = 0.7     # of the descriptors: for user agents; the rest is for application servers
-MEMORY_SHARE = 0.25   # of the memory limit: for requests held
-ANSWER_SHARE = 0.15   # of the memory limit: for answers that user agents have not taken
-INPUT_SHARE = 0.05    # of the memory limit: for commands that have begun and are not whole
-
-
-def build(given: config.Config, reactor: Any) -> Lifecycle:
-    """All parts, wired; nothing is connected yet but the listening port."""
-    settings, limits = given.settings, given.settings.limits
-    deadlines = clock.Deadlines(reactor)
-    room = given.sockets - config.SPARE_SOCKETS
-    core = Core(settings, given.seed, deadlines, int(given.memory * MEMORY_SHARE))
-    agents = int(room * AGENT_SHARE)
-    upstream = core.upstream = Upstream(reactor, deadlines, limits, room - agents)
-    front = Front(core, settings, deadlines, agents, int(given.memory * ANSWER_SHARE),
-                  int(given.memory * INPUT_SHARE))
-    longest = max((c.deadline for c in settings.classes), default=0.0)
-    lifecycle = Lifecycle(deadlines, core, front, longest, reactor.stop)
-
-    def changed(news: config.Listed) -> None:
-        core.listed(news.membership, lambda: upstream.listed(news))
-        if news.addresses:
-            lifecycle.listed()
-
-    changed(given.known)
-    discovery = Discovery(reactor, deadlines, given.discovery, given.known.membership.version, changed)
-    core.discovery = discovery
-    counter: Counter | None = None
-    if given.counter is not None:
-        core.counter = counter = Counter(reactor, deadlines, given.counter)
-        counter.connect()
-    lifecycle.reload = Reload(given, discovery, counter).now
-    discovery.start()
-    lifecycle.listening(reactor.listenTCP(given.listen.port, front, backlog=511,
-                                          interface=given.listen.host))
-    return lifecycle
+from thymeflow.net import config, log
 
 
 def main() -> int:
@@ -68,12 +24,16 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
+    from thymeflow.net.assembly import Limiter
+
     loop: Any = reactor
     try:
-        lifecycle = build(given, loop)
+        limiter = Limiter(given, loop)
+        limiter.start()
     except CannotListenError as fault:
         print(f"thymeflow: cannot listen: {fault}", file=sys.stderr)
         return 3
+    lifecycle = limiter.lifecycle
     for number in (signal.SIGTERM, signal.SIGINT):
         signal.signal(number, lambda *_: loop.callFromThread(lifecycle.terminate))
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(lifecycle.reread))
@@ -85,5 +45,13 @@
     return 0
 
 
+def entry() -> int:
+    """The console's way in: sub-commands where there are any, else the platform's start."""
+    if len(sys.argv) > 1:
+        from thymeflow.cli import run
+        return run()
+    return main()
+
+
 if __name__ == "__main__":
-    sys.exit(main())
+    sys.exit(entry())
--- /dev/null
+++ b/thymeflow/cli/__init__.py
@@ -0,0 +1,57 @@
+"""The command line. Commands are thin: each parses, calls one function of a subsystem and prints.
+
+What a command does not need is not imported: the group finds its commands by name.
+"""
+
+from __future__ import annotations
+
+import importlib
+from typing import Any
+
+import click
+
+COMMANDS = {
+    "serve": "thymeflow.cli.serve:serve",
+    "check": "thymeflow.cli.check:check",
+    "status": "thymeflow.cli.instance:status",
+    "drain": "thymeflow.cli.instance:drain",
+    "reload": "thymeflow.cli.instance:reload",
+    "log-level": "thymeflow.cli.instance:log_level",
+    "snapshot": "thymeflow.cli.snapshot:snapshot",
+    "fleet": "thymeflow.cli.fleet:fleet",
+    "demo": "thymeflow.cli.demo:demo",
+}
+
+
+class Lazy(click.Group):
+    """A group that imports a command when it is asked for."""
+
+    def list_commands(self, ctx: click.Context) -> list[str]:
+        """All names."""
+        return list(COMMANDS)
+
+    def get_command(self, ctx: click.Context, cmd_name: str) -> click.Command | None:
+        """One command."""
+        if cmd_name not in COMMANDS:
+            return None
+        module, _, name = COMMANDS[cmd_name].partition(":")
+        command: click.Command = getattr(importlib.import_module(module), name)
+        return command
+
+
+@click.command(cls=Lazy, context_settings={"help_option_names": ["-h", "--help"], "max_content_width": 100})
+@click.version_option(package_name="thymeflow")
+def thymeflow() -> None:
+    """Hold customers to their quotas in front of a fleet of servers.
+
+    Without a command: one limiter as the platform starts it, from the JSON that BALANCER_CONFIG names.
+
+    Exit codes: 0 done; 1 asked for and not reached; 2 bad settings, configuration or usage; 3 cannot listen;
+    4 the name is held by another process; 5 no hand-over; 6 nobody answers.
+    """
+
+
+def run() -> int:
+    """Run the command line; the exit code."""
+    result: Any = thymeflow(standalone_mode=True)
+    return int(result or 0)
--- /dev/null
+++ b/thymeflow/daemon/answers.py
@@ -0,0 +1,121 @@
+"""What the control socket answers: one function for each word that may be asked."""
+
+from __future__ import annotations
+
+import os
+from collections.abc import Callable
+from typing import TYPE_CHECKING, Any
+
+from thymeflow import interface as api
+from thymeflow.daemon.control import Caller, Message
+from thymeflow.daemon.handover import Word
+from thymeflow.net import clock, log
+from thymeflow.net.lifecycle import Phase
+from thymeflow.observe.structured import LEVELS
+
+if TYPE_CHECKING:
+    from thymeflow.daemon.service import Service
+
+WATCH = 0.5             # s: pace of what a watch is told
+MOST_LINGER = 60.0      # s
+
+
+class Answers:
+    """Answers callers, and tells those that watch."""
+
+    def __init__(self, service: Service) -> None:
+        self._service = service
+        self._watchers: list[Caller] = []
+        self._words: dict[str, Callable[[Caller, Message], None]] = {
+            "status": self._status, "watch": self._watch, "drain": self._drain, "reload": self._reload,
+            "level": self._level, "snapshot": self._snapshot, "socket": self._socket,
+            "take": lambda caller, message: service.giving.asked(caller, message)}
+
+    def served(self, caller: Caller, message: Message) -> None:
+        """Answer one message."""
+        word = message.get("do")
+        if word in (Word.READY.value, Word.TOOK.value, Word.SERVING.value) and (
+                caller is self._service.giving.other):
+            self._service.giving.heard(Word(word))
+        elif isinstance(word, str) and word in self._words:
+            self._words[word](caller, message)
+        else:
+            caller.say({"ok": False, "why": f"'do' is {str(word)[:40]!r}; it may be {', '.join(self._words)}"})
+
+    def status(self) -> dict[str, Any]:
+        """What there is to say of this instance, as JSON takes it."""
+        service, limiter, now = self._service, self._service.limiter, clock.now()
+        gateway, phase = limiter.gateway, limiter.lifecycle.phase
+        servers = list(gateway.servers.values())
+        ready = [s for s in servers if s.entry.state is api.BackendState.READY]
+        return {
+            "name": service.name, "life": service.life, "pid": os.getpid(), "phase": phase.value,
+            "listen": limiter.lifecycle.where, "uptime_s": round(now - service.begun, 3),
+            "healthy": phase is Phase.SERVING and bool(ready), "index": gateway.settings.index,
+            "gateways": gateway.settings.gateways, "list_version": service.memory.version,
+            "servers": {"ready": len(ready), "other": len(servers) - len(ready),
+                        "ejected": sum(not s.fit("", now) for s in ready)},
+            "open": limiter.core.open(), "user_agents": len(limiter.front.agents),
+            "answers": {verdict.value: count for verdict, count in limiter.core.tally.items()},
+            "customers": len(gateway.stores), "pressure": round(gateway.pressure, 3),
+            "counter_heard_s": round(now - gateway.heard, 3) if gateway.heard > 0 else None,
+            "snapshot": service.memory.told(), "hand_over": service.giving.state.value,
+            "log_lost": service.book.out.lost}
+
+    def tell(self) -> None:
+        """Tell those that watch."""
+        if self._watchers:
+            told = {"status": self.status()}
+            for caller in list(self._watchers):
+                caller.say(told)
+
+    def beat(self, _: int = 0) -> None:
+        """Tell them now and then."""
+        self.tell()
+        self._service.limiter.deadlines.at(clock.now() + WATCH, self.beat)
+
+    def _status(self, caller: Caller, _: Message) -> None:
+        caller.say({"ok": True, **self.status()})
+
+    def _watch(self, caller: Caller, _: Message) -> None:
+        caller.lasting = True
+        self._watchers.append(caller)
+        caller.on_gone = lambda: self._watchers.remove(caller)
+        caller.say({"status": self.status()})
+
+    def _drain(self, caller: Caller, message: Message) -> None:
+        linger = message.get("linger")
+        if linger is not None and (isinstance(linger, bool) or not isinstance(linger, int | float)
+                                   or not 0.0 <= linger <= MOST_LINGER):
+            raise ValueError(f"linger is {str(linger)[:40]!r}, no number of seconds from 0 to {MOST_LINGER:g}")
+        caller.say({"ok": True, "open": self._service.limiter.core.open()})
+        self._service.end(linger)
+
+    def _reload(self, caller: Caller, _: Message) -> None:
+        good = self._service.reload()
+        caller.say({"ok": good, "why": self._service.reloaded})
+
+    def _level(self, caller: Caller, message: Message) -> None:
+        level = message.get("level")
+        if level not in LEVELS:
+            raise ValueError(f"level is {str(level)[:40]!r}; it may be {', '.join(LEVELS)}")
+        self._service.book.set_level(level)
+        log.note("level", f"{level} from now on, until a reload")
+        caller.say({"ok": True})
+
+    def _snapshot(self, caller: Caller, _: Message) -> None:
+        memory = self._service.memory
+        writing = memory.write_now()
+        if writing is None:
+            caller.say({"ok": False, "why": "one is being written, or this life does not hold the name"})
+        else:
+            writing.addCallback(lambda fault: caller.say(
+                {"ok": not fault, "why": fault, "path": str(memory.path), **memory.told()}))
+
+    def _socket(self, caller: Caller, _: Message) -> None:
+        # A supervisor that adopts us wants the listening socket, so that it outlives us.
+        lifecycle = self._service.limiter.lifecycle
+        if lifecycle.port is None:
+            caller.say({"ok": False, "why": "it does not listen"})
+        else:
+            caller.say({"ok": True, "listen": lifecycle.where}, lifecycle.port.fileno())
--- /dev/null
+++ b/thymeflow/daemon/service.py
@@ -0,0 +1,264 @@
+"""One limiter as a daemon: lock, sockets, memory, control and hand-over wired round the same parts.
+
+What is decided lies elsewhere: `handover` (who accepts), `state.meaning` (what a snapshot means), `net.lifecycle`
+(phases). Here are the hands that the parts share.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import gc
+import os
+import secrets
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass, replace
+from pathlib import Path
+from typing import Any
+
+from thymeflow import Gateway
+from thymeflow.daemon import activation
+from thymeflow.daemon.answers import Answers
+from thymeflow.daemon.control import Control, ControlError
+from thymeflow.daemon.giving import Giving
+from thymeflow.daemon.handover import Giver, Told, Word
+from thymeflow.daemon.lock import Held, Lock
+from thymeflow.daemon.memory import Memory
+from thymeflow.daemon.notify import Notifier
+from thymeflow.daemon.taking import Taking
+from thymeflow.net import clock, config, log
+from thymeflow.net.assembly import Limiter
+from thymeflow.net.lifecycle import Phase
+from thymeflow.observe.structured import Logbook
+from thymeflow.policy import START_LEVEL
+from thymeflow.settings import Settings, SettingsError
+from thymeflow.state import meaning, record
+
+BAD_CONFIGURATION, CANNOT_LISTEN, NAME_HELD, NO_HAND_OVER = 2, 3, 4, 5   # exit codes; docs/fleet.md
+
+
+@dataclass(frozen=True, slots=True)
+class Options:
+    """How this start differs from a plain one."""
+
+    joins: bool = False          # into a running set, where every slice is given out already
+    take_over: bool = False      # from a running process of the same name
+
+
+class CannotStart(Exception):
+    """The daemon does not start; the text says why in one line, `code` is the exit code."""
+
+    def __init__(self, why: str, code: int) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+class Service:
+    """The daemon, from its start to its end."""
+
+    def __init__(self, settings: Settings, load: Callable[[], config.Config], options: Options,
+                 reactor: Any, read: Callable[[], Settings]) -> None:
+        self.settings, self.options, self.reactor, self._load, self._read = settings, options, reactor, load, read
+        self.given = load()
+        self.name, self.life, self.begun = self.given.name, secrets.token_hex(4), clock.now()
+        self.book = Logbook(settings.log, self.name, self.life)
+        self.notifier = Notifier(os.environ)
+        self.folder = Path(settings.daemon.state or f".thymeflow-{self.name}")
+        self.memory = Memory(self.path("state"), self.name, self.life, self.given.known)
+        self.lock: Lock | None = None
+        self.control: Control | None = None
+        self.limiter: Limiter
+        self.answers, self.giving = Answers(self), Giving(self)
+        self.taking: Taking | None = Taking(self) if options.take_over else None
+        self.code = 0
+        self.reloaded = ""           # what the last reload came to
+
+    def path(self, kind: str) -> Path:
+        """A file of this instance: `lock`, `sock` or `state`."""
+        return self.folder / f"{self.name}.{kind}"
+
+    def start(self) -> None:
+        """Take name and sockets, remember, and serve; CannotStart says why not."""
+        self.book.take_over()
+        log.note("start", f"life {self.life} of {self.name}, pid {os.getpid()}", joins=self.options.joins,
+                 take_over=self.options.take_over)
+        if self.notifier.fault:
+            log.note("notify", self.notifier.fault)
+        try:
+            self.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+        except OSError as fault:
+            raise CannotStart(f"[daemon] state {self.folder}: {fault.strerror}", BAD_CONFIGURATION) from None
+        if self.taking is not None:
+            self._make(None)
+            self.taking.begin()
+            return
+        try:
+            handed = activation.handed_in(os.environ, os.getpid())
+            self.lock = Lock.take(self.path("lock"), self.life)
+        except activation.BadDescriptor as fault:
+            raise CannotStart(f"sockets handed in: {fault}", CANNOT_LISTEN) from None
+        except Held as fault:
+            raise CannotStart(str(fault), NAME_HELD) from None
+        except OSError as fault:
+            raise CannotStart(f"{self.path('lock')}: {fault.strerror}", NAME_HELD) from None
+        kept = self.settings.snapshot
+        site = record.site_of(self.given.settings)
+        self._make(self.memory.read(site, kept.fresh) if kept.keep else None)
+        if fault_text := self.open_control():
+            raise CannotStart(fault_text, CANNOT_LISTEN)
+        self.limiter.connect()
+        self.listen(handed[0] if handed else None)
+        for more in handed[1:]:
+            log.note("sockets", f"{more.getsockname()} was handed in and is not used")
+            more.close()
+
+    def _make(self, snapshot: record.Snapshot | None) -> None:
+        given = self.given
+        if snapshot is not None:
+            given = replace(given, known=meaning.newer(snapshot, given.known))
+        gateway = Gateway(given.settings, given.seed, 0.0 if self.options.joins else START_LEVEL)
+        self.memory.of(gateway)
+        self.limiter = Limiter(given, self.reactor, gateway, self._load, self.settings.daemon.drain_linger)
+        self.limiter.on_list = self._listed
+        self.memory.listed(given.known)
+        if snapshot is not None:
+            self.memory.recall(snapshot, "file")
+        self.limiter.lifecycle.entered = self._entered
+
+    def open_control(self) -> str:
+        """Open the control socket; the fault, or nothing."""
+        daemon = self.settings.daemon
+        if daemon.control:
+            self.control = Control(self.reactor, self.limiter.deadlines, self.path("sock"),
+                                   daemon.control_callers, daemon.control_patience, self.answers.served)
+            try:
+                self.control.listen()
+            except (ControlError, OSError) as fault:
+                return f"control socket: {fault}"
+        return ""
+
+    def listen(self, handed: socket.socket | None) -> None:
+        """Begin to accept, on a socket made elsewhere or on one of our own."""
+        if handed is None:
+            self.limiter.listen()
+            return
+
+        def adopt(front: Any) -> Any:
+            port = self.reactor.adoptStreamPort(handed.fileno(), handed.family, front)
+            handed.close()
+            return port
+
+        self.limiter.listen(adopt)
+
+    def run(self) -> int:
+        """Serve until the end; the exit code."""
+        for number, served in ((signal.SIGTERM, self.end), (signal.SIGINT, self.end),
+                               (signal.SIGHUP, self.reload)):
+            signal.signal(number, lambda *_, served=served: self.reactor.callFromThread(served))
+        self._now_and_then(0)
+        self.answers.beat()
+        gc.collect()
+        gc.freeze()
+        self.reactor.run(installSignalHandlers=False)
+        self._finish()
+        return self.code
+
+    def _entered(self, phase: Phase) -> None:
+        if phase is Phase.SERVING:
+            took = clock.now() - self.begun
+            log.note("ready", f"{took:.3f} s after the start", seconds=round(took, 3))
+            self.notifier.tell(ready=1, mainpid=os.getpid(), status=f"{self.name} serves")
+        elif phase is Phase.DRAINING:
+            self.notifier.tell(stopping=1, status=f"{self.name} finishes what it took")
+        self.answers.tell()
+
+    def _listed(self, news: config.Listed) -> None:
+        self.memory.listed(news)
+        if self.taking is not None and self.memory.has_list():
+            self.taking.listed()
+
+    def end(self, linger: float | None = None) -> None:
+        """SIGTERM, SIGINT or a word over the control socket: end in good order, however often it comes."""
+        if self.taking is not None and not self.taking.serves():
+            self.taking.told(Told.UNFIT)
+            return
+        self.giving.heard(Word.ENDING)
+        self.limiter.lifecycle.terminate(linger)
+
+    def reload(self) -> bool:
+        """SIGHUP: the platform's file and ours are read again; what cannot be used changes nothing."""
+        if self.limiter.lifecycle.phase is Phase.STOPPED:
+            return False
+        self.notifier.tell(reloading=1, monotonic_usec=int(clock.monotonic() * 1e6))
+        ours = ""
+        try:
+            fresh = self._read()
+        except SettingsError as fault:
+            ours = f"our settings stay as they are: {' | '.join(map(str, fault.faults))}"
+            log.note("reload", ours)
+        else:
+            self.settings = replace(self.settings, log=fresh.log, snapshot=fresh.snapshot)
+            self.book.set_level(fresh.log.level)
+        good = self.limiter.reload.now()
+        self.reloaded = " | ".join(filter(None, (self.limiter.reload.last, ours)))
+        self.notifier.tell(ready=1)
+        return good and not ours
+
+    def _owner(self) -> bool:
+        return self.giving.state is not Giver.GIVEN and self.lock is not None
+
+    def _now_and_then(self, _: int) -> None:
+        self.limiter.deadlines.at(clock.now() + self.settings.snapshot.every, self._now_and_then)
+        if self.settings.snapshot.keep and self.limiter.lifecycle.phase is Phase.SERVING:
+            self.memory.write_now(self._owner)
+
+    def give_up(self) -> None:
+        """End at once, having accepted nothing: somebody else serves under this name."""
+        self.lock = None          # the other end holds it too, and goes on holding it
+        self.code = self.code or NO_HAND_OVER
+        self.reactor.callWhenRunning(self.reactor.stop)
+
+    def retreat(self) -> None:
+        """End in good order, leaving name, socket and snapshot to another."""
+        self.code = NO_HAND_OVER
+        self.limiter.lifecycle.terminate(0.0)
+
+    def _finish(self) -> None:
+        # After the reactor: nothing more can be sent on, so this snapshot is the last word.
+        if self.control is not None:
+            self.control.close()
+        if self._owner() and self.lock is not None:
+            if self.settings.snapshot.keep:
+                self.memory.write_last()
+            self.lock.release()
+        self.book.out.close()
+
+
+def serve(settings: Settings, load: Callable[[], config.Config], options: Options,
+          read: Callable[[], Settings]) -> int:
+    """Run one limiter as a daemon; the exit code."""
+    early: list[int] = []
+    signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
+    from twisted.internet import reactor
+    from twisted.internet.error import CannotListenError
+
+    loop: Any = reactor
+    try:
+        service = Service(settings, load, options, loop, read)
+        service.start()
+    except config.ConfigError as fault:
+        print(f"thymeflow: bad configuration: {fault}", file=sys.stderr)
+        return BAD_CONFIGURATION
+    except CannotListenError as fault:
+        print(f"thymeflow: cannot listen: {fault}", file=sys.stderr)
+        return CANNOT_LISTEN
+    except CannotStart as fault:
+        print(f"thymeflow: cannot start: {fault}", file=sys.stderr)
+        return fault.code
+    if early:
+        loop.callFromThread(service.reload)
+    with contextlib.suppress(KeyboardInterrupt):
+        return service.run()
+    return 0
--- /dev/null
+++ b/thymeflow/fleet/run.py
@@ -0,0 +1,143 @@
+"""Processes: started by us or found running, followed by their control sockets, and their ends noticed."""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import signal
+import socket
+import sys
+from collections.abc import Callable, Mapping, Sequence
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.protocol import ProcessProtocol
+from twisted.python.failure import Failure
+
+from thymeflow.daemon import ask
+from thymeflow.daemon.control import Message
+from thymeflow.net import clock
+
+LINK_PACE = 0.05      # s: between tries to reach a control socket that is not there yet
+SHELL = 'LISTEN_PID=$$ exec "$@"'   # the child's own pid, as sd_listen_fds(3) wants it
+
+
+class Run:
+    """One process of a member: `heard` gets each status, `ended` its end in words, once."""
+
+    def __init__(self, reactor: Any, deadlines: clock.Deadlines, path: Path, pid: int,
+                 heard: Callable[[Message], None], ended: Callable[[str], None]) -> None:
+        self.pid, self.over = pid, False
+        self._reactor, self._deadlines, self._path, self._heard, self._ended = reactor, deadlines, path, heard, ended
+        self._talk: ask.Talk | None = None
+        self.last: Message = {}
+
+    def link(self, _: int = 0) -> None:
+        """Follow it over its control socket, from the moment that there is one."""
+        if self.over:
+            return
+        made = ask.talk(self._reactor, self._path, self._status, self._unlinked)
+        made.addCallbacks(self._linked, lambda _: self._again())
+
+    def _again(self) -> None:
+        if not self.over:
+            self._deadlines.at(clock.now() + LINK_PACE, self.link)
+
+    def _linked(self, talk: ask.Talk) -> None:
+        self._talk = talk
+        if self.over:
+            talk.close()
+        else:
+            talk.say({"do": "watch"})
+
+    def _unlinked(self) -> None:
+        self._talk = None
+        self._again()
+
+    def _status(self, message: Message) -> None:
+        status = message.get("status")
+        if not isinstance(status, dict) or status.get("pid") != self.pid:
+            # The name belongs to the process that this one is to replace, or to one before it: try again.
+            if self._talk is not None:
+                self._talk.close()
+            return
+        self.last = status
+        self._heard(status)
+
+    def end(self, how: str) -> None:
+        """It is over."""
+        if not self.over:
+            self.over = True
+            if self._talk is not None:
+                self._talk.close()
+            self._ended(how)
+
+    def signal(self, number: int) -> None:
+        """Send it a signal, unless it is over."""
+        if not self.over:
+            with contextlib.suppress(ProcessLookupError):
+                os.kill(self.pid, number)
+
+
+class Child(ProcessProtocol):
+    """A process that we started: its end comes from the system."""
+
+    def __init__(self) -> None:
+        self.run: Run | None = None
+
+    def processEnded(self, reason: Failure) -> None:
+        """It has ended and was waited for."""
+        value: Any = reason.value
+        code, number = getattr(value, "exitCode", None), getattr(value, "signal", None)
+        how = f"was ended by {signal.Signals(number).name}" if number else f"ended with code {code}"
+        if self.run is not None:
+            self.run.end(how)
+
+
+class Found:
+    """A process that somebody else started: its end is read from a descriptor of it (pidfd_open(2))."""
+
+    def __init__(self, reactor: Any, pid: int) -> None:
+        self._reactor, self._descriptor = reactor, os.pidfd_open(pid)
+        self.run: Run | None = None
+        reactor.addReader(self)
+
+    def fileno(self) -> int:
+        """What the reactor waits on."""
+        return self._descriptor
+
+    def logPrefix(self) -> str:
+        """For Twisted's log."""
+        return "found process"
+
+    def doRead(self) -> None:
+        """Readable: it has ended."""
+        self._reactor.removeReader(self)
+        os.close(self._descriptor)
+        if self.run is not None:
+            self.run.end("ended (it was not started by this supervisor)")
+
+    def connectionLost(self, _: Any) -> None:
+        """The reactor stops."""
+
+
+def command(program: Sequence[str], arguments: Sequence[str]) -> list[str]:
+    """How a member is started."""
+    return [*(program or (sys.executable, "-m", "thymeflow")), "serve", *arguments]
+
+
+def spawn(reactor: Any, words: Sequence[str], environment: Mapping[str, str], output: int,
+          listening: socket.socket | None) -> tuple[Child, int]:
+    """Start a process that outlives us, its output in a file, with a listening socket as descriptor 3."""
+    child, nothing = Child(), os.open(os.devnull, os.O_RDONLY)
+    passed = {0: nothing, 1: output, 2: output}
+    environment = {**environment}
+    if listening is not None:
+        passed[3] = listening.fileno()
+        environment["LISTEN_FDS"] = "1"
+        words = ["/bin/sh", "-c", SHELL, "sh", *words]
+    try:
+        transport = reactor.spawnProcess(child, words[0], list(words), environment, childFDs=passed)
+    finally:
+        os.close(nothing)
+    return child, int(transport.pid)
--- /dev/null
+++ b/thymeflow/fleet/supervisor.py
@@ -0,0 +1,424 @@
+"""The supervisor's hands: processes, sockets, files and the control socket round `fleet.mind`.
+
+It holds every listening socket and hands it to the members (LISTEN_FDS), so that an address never refuses a
+connection while its member is being restarted. Members run in sessions of their own and go on when it dies; its
+successor finds them by their control sockets, takes a copy of each listening socket from them, and goes on.
+"""
+
+from __future__ import annotations
+
+import contextlib
+import os
+import random
+import shlex
+import signal
+import socket
+import sys
+from collections.abc import Callable
+from dataclasses import dataclass
+from math import inf
+from pathlib import Path
+from typing import Any
+
+from twisted.internet.defer import Deferred, DeferredList
+
+from thymeflow.daemon import activation, ask
+from thymeflow.daemon.control import Caller, Control, ControlError, Message
+from thymeflow.daemon.lock import Held, Lock
+from thymeflow.daemon.notify import Notifier
+from thymeflow.daemon.service import BAD_CONFIGURATION, CANNOT_LISTEN, NAME_HELD
+from thymeflow.fleet import mind, roster
+from thymeflow.fleet.mind import Kind, Mind, State
+from thymeflow.fleet.run import Found, Run, command, spawn
+from thymeflow.net import clock, config, log
+from thymeflow.observe.structured import Logbook
+from thymeflow.settings import Settings, SettingsError
+from thymeflow.settings.units import BadValue, Count
+
+FIND = 1.0          # s: in which a member that runs answers
+BACKLOG = 511
+MOST_MEMBERS = 256
+CALLERS = 32
+
+
+class CannotSupervise(Exception):
+    """The fleet is not begun; the text says why in one line, `code` is the exit code."""
+
+    def __init__(self, why: str, code: int) -> None:
+        super().__init__(why)
+        self.code = code
+
+
+@dataclass(frozen=True, slots=True)
+class Given:
+    """What a supervisor is started with: how our settings are read, and the files as members are to read them."""
+
+    read: Callable[[], Settings]
+    settings_path: str
+    platform: Path
+    folder: Path
+    program: str = ""
+
+
+class Supervisor:
+    """Runs a fleet until it is down, or until it is told to leave it alone."""
+
+    def __init__(self, given: Given, reactor: Any) -> None:
+        self._given, self._reactor = given, reactor
+        self.settings = given.read()
+        self._fleet = self.settings.fleet
+        self._names = roster.Names(given.folder, self._fleet.name)
+        self._deadlines = clock.Deadlines(reactor)
+        self._mind = Mind(self._fleet, random.Random(os.urandom(8)))
+        self._runs: dict[int, Run] = {}
+        self._sockets: dict[int, socket.socket] = {}
+        self._ports: dict[str, int] = {}
+        self._program = given.program
+        self._program_before: dict[int, str] = {}     # by order
+        self._callers: dict[int, Caller] = {}
+        self._orders, self._written = 0, b""
+        self._tick: clock.Entry = []
+        self._lock: Lock
+        self._control: Control
+        self._output = -1
+        self._source: dict[str, Any] = {}
+        self.book = Logbook(self.settings.log, "fleet", os.urandom(4).hex())
+        self._notifier = Notifier(os.environ)
+        self.code = 0
+
+    # --- start and end -------------------------------------------------------------------------------------
+
+    def start(self) -> None:
+        """Take the fleet's name, find what runs, and begin; CannotSupervise says why not."""
+        self.book.take_over()
+        try:
+            self._given.folder.mkdir(mode=0o700, parents=True, exist_ok=True)
+            self._source = roster.template(self._given.platform)
+            self._lock = Lock.take(self._names.own("lock"), "supervisor")
+            self._output = os.open(self._names.own("out"), os.O_WRONLY | os.O_APPEND | os.O_CREAT | os.O_CLOEXEC,
+                                   0o600)
+            self._control = Control(self._reactor, self._deadlines, self._names.own("sock"), CALLERS,
+                                    self.settings.daemon.control_patience, self._served)
+            self._control.listen()
+        except config.ConfigError as fault:
+            raise CannotSupervise(str(fault), BAD_CONFIGURATION) from None
+        except Held as fault:
+            raise CannotSupervise(f"another supervisor runs: {fault}", NAME_HELD) from None
+        except (ControlError, OSError) as fault:
+            raise CannotSupervise(f"{self._given.folder}: {fault}", CANNOT_LISTEN) from None
+        count = self._fleet.instances
+        try:
+            before = roster.read_roster(self._names.own("json"))
+        except ValueError as fault:
+            log.note("roster", f"not used, the settings hold: {fault}")
+            before = None
+        if before is not None:
+            self._ports = dict(before.ports)
+            if before.working:
+                log.note("roll", f"{before.working}, when the last supervisor ended; it is not gone on with")
+        found = [self._find(number) for number in self._names.running()]
+
+        def begin(results: list[tuple[bool, int | None]]) -> None:
+            running = [number for good, number in results if good and number is not None]
+            # What was ordered last holds on where members run by it; a fresh start goes by the settings.
+            wanted = before.count if before is not None and running else count
+            self._decide(mind.Up(wanted))
+            self._notifier.tell(ready=1, mainpid=os.getpid(), status=f"{wanted} members")
+
+        DeferredList(found, consumeErrors=True).addCallback(begin)
+
+    def _find(self, number: int) -> Deferred[int | None]:
+        """Adopt a member that runs; the Deferred gives its number, or None where nobody answered."""
+        path = self._names.path(number, "sock")
+
+        def told(status: Message) -> Deferred[int | None] | None:
+            if not status.get("ok") or not isinstance(status.get("pid"), int):
+                return None
+            try:
+                found = Found(self._reactor, status["pid"])
+            except OSError:
+                return None
+            actions = self._mind.handle(clock.now(), mind.Adopted(
+                number, str(status["life"]), status["phase"] == "serving"))
+            member = self._mind.members[number]
+            self._follow(member.run, number, status["pid"], found)
+            log.note("adopted", f"{self._names.name(number)}, pid {status['pid']}, {status['phase']}")
+            self._carry_out(actions)
+            return self._copy_socket(number, path)
+
+        asking = ask.ask(self._reactor, self._deadlines, path, {"do": "status"}, clock.now() + FIND)
+        return asking.addCallbacks(told, lambda _: None)
+
+    def _copy_socket(self, number: int, path: Path) -> Deferred[int | None]:
+        done: Deferred[int | None] = Deferred()
+        line: list[ask.Talk] = []
+
+        def heard(message: Message) -> None:
+            talk = line[0]
+            if message.get("ok") and talk.descriptors:
+                descriptor = talk.descriptors.pop()
+                with contextlib.suppress(activation.BadDescriptor, OSError):
+                    self._sockets[number] = activation.checked(descriptor)
+                os.close(descriptor)
+            talk.close()
+
+        def ended() -> None:
+            if not done.called:
+                done.callback(number)
+
+        def up(talk: ask.Talk) -> None:
+            line.append(talk)
+            talk.say({"do": "socket"})
+
+        ask.talk(self._reactor, path, heard, ended).addCallbacks(up, lambda _: ended())
+        return done
+
+    def run(self) -> int:
+        """Supervise until the end; the exit code."""
+        # Twisted's own handlers are wanted for SIGCHLD, by which it hears of its children's ends; ours go over
+        # its other ones.
+        self._reactor.callWhenRunning(self._take_signals)
+        self._reactor.run()
+        self._control.close()
+        self._lock.release()
+        self.book.out.close()
+        return self.code
+
+    def _take_signals(self) -> None:
+        for number, served in ((signal.SIGTERM, self._down), (signal.SIGINT, self._down),
+                               (signal.SIGHUP, self._reload)):
+            signal.signal(number, lambda *_, served=served: self._reactor.callFromThread(served))
+
+    def _down(self) -> None:
+        self._order(None, Kind.DOWN, 0)
+
+    # --- the mind ------------------------------------------------------------------------------------------
+
+    def _decide(self, event: mind.Event) -> None:
+        self._carry_out(self._mind.handle(clock.now(), event))
+
+    def _carry_out(self, actions: list[mind.Action]) -> None:
+        for action in actions:
+            match action:
+                case mind.Start():
+                    self._start(action)
+                case mind.Stop(run):
+                    self._signal(run, signal.SIGTERM)
+                case mind.Kill(run):
+                    self._signal(run, signal.SIGKILL)
+                case mind.Resize(size):
+                    self._resize(size)
+                case mind.Say(kind, text):
+                    log.note(kind, text)
+                case mind.Report():
+                    self._report(action)
+                case mind.Exit():
+                    self._notifier.tell(stopping=1)
+                    self._deadlines.at(clock.now() + 0.1, lambda _: self._reactor.stop())
+        self._keep()
+        if self._tick:
+            self._deadlines.cancel(self._tick)
+            self._tick = []
+        due = self._mind.next_due()
+        if due < inf:
+            self._tick = self._deadlines.at(max(due, clock.now()), lambda _: self._decide(mind.Tick()))
+
+    def _keep(self) -> None:
+        for number in [n for n in self._sockets if n not in self._mind.members]:
+            self._sockets.pop(number).close()     # gone for good: its address refuses from now on
+        held = roster.Roster(self._mind.count, self._ports, self._mind.working())
+        data = repr(held).encode()
+        if data != self._written and self._mind.count:
+            self._written = data
+            try:
+                roster.write_roster(self._names.own("json"), held)
+            except OSError as fault:
+                log.say("roster", f"not written: {fault}")
+
+    def _signal(self, run: int, number: int) -> None:
+        if run in self._runs:
+            self._runs[run].signal(number)
+
+    # --- members -------------------------------------------------------------------------------------------
+
+    def _socket(self, number: int) -> socket.socket:
+        held = self._sockets.get(number)
+        if held is None:
+            where = roster.listen_of(self._fleet.listen, number, self._ports)
+            family = socket.AF_INET6 if ":" in where.host else socket.AF_INET
+            held = socket.socket(family, socket.SOCK_STREAM)
+            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+            try:
+                held.bind((where.host, where.port))
+                held.listen(BACKLOG)
+            except OSError:
+                held.close()
+                raise
+            held.setblocking(False)
+            self._sockets[number] = held
+        self._ports[str(number)] = held.getsockname()[1]
+        return held
+
+    def _start(self, action: mind.Start) -> None:
+        """Start a process, or take one that runs under that name already for it."""
+        if action.replaces:
+            self._spawn(action)
+            return
+
+        def told(status: Message) -> None:
+            # Somebody answers to the name: the last supervisor's, in the middle of a hand-over.
+            try:
+                found = Found(self._reactor, status["pid"])
+            except (OSError, KeyError, TypeError):
+                self._spawn(action)
+            else:
+                log.note("adopted", f"{self._names.name(action.number)}, pid {status['pid']}")
+                self._follow(action.run, action.number, status["pid"], found)
+
+        path = self._names.path(action.number, "sock")
+        if not path.is_symlink():
+            self._spawn(action)
+            return
+        asking = ask.ask(self._reactor, self._deadlines, path, {"do": "status"}, clock.now() + FIND)
+        asking.addCallbacks(told, lambda _: self._spawn(action))
+
+    def _spawn(self, action: mind.Start) -> None:
+        number, name = action.number, self._names.name(action.number)
+        try:
+            listening = self._socket(number)
+            where = "{}:{}".format(*listening.getsockname()[:2])
+            roster.write_member(self._names, self._source, where, number, self._mind.size)
+            words = ["--platform", str(self._names.path(number, "json")), "--state", str(self._names.folder),
+                     "--detach"]
+            words += ["--settings", self._given.settings_path] if self._given.settings_path else []
+            words += ["--joins"] if action.joins else []
+            words += ["--take-over"] if action.replaces else []
+            environment = {k: v for k, v in os.environ.items() if not k.startswith(("LISTEN_", "NOTIFY_"))}
+            environment["THYMEFLOW_DAEMON_DRAIN_LINGER"] = f"{self._fleet.linger:g}s"
+            child, pid = spawn(self._reactor, command(shlex.split(self._program), words), environment,
+                               self._output, None if action.replaces else listening)
+        except (OSError, ValueError) as fault:
+            how = f"could not be started: {fault}"
+            self._reactor.callLater(0, lambda: self._decide(mind.Ended(action.run, how)))
+            return
+        log.note("started", f"{name}, pid {pid}{', to take over' if action.replaces else ''}", number=number)
+        self._follow(action.run, number, pid, child)
+
+    def _follow(self, run: int, number: int, pid: int, process: Any) -> None:
+        def heard(status: Message) -> None:
+            serves = status.get("phase") == "serving"
+            self._decide(mind.Told(run, str(status.get("life")), serves, bool(status.get("healthy"))))
+
+        def ended(how: str) -> None:
+            self._runs.pop(run, None)
+            self._decide(mind.Ended(run, how))
+
+        followed = Run(self._reactor, self._deadlines, self._names.path(number, "sock"), pid, heard, ended)
+        self._runs[run] = process.run = followed
+        followed.link()
+
+    def _resize(self, size: int) -> None:
+        for number, member in self._mind.members.items():
+            held = self._sockets.get(number)
+            if held is None or member.run < 0:
+                continue
+            try:
+                where = "{}:{}".format(*held.getsockname()[:2])
+                roster.write_member(self._names, self._source, where, number, size)
+            except OSError as fault:
+                log.note("resize", f"{self._names.name(number)} was not told: {fault}")
+                continue
+            self._signal(member.run, signal.SIGHUP)
+
+    def _reload(self) -> str:
+        """SIGHUP or an order: the platform's file is read again and passed on; a bad one changes nothing."""
+        try:
+            fresh, source = self._given.read(), roster.template(self._given.platform)
+        except (SettingsError, config.ConfigError) as fault:
+            why = f"the old settings stay: {' | '.join(str(fault).splitlines())}"
+            log.note("reload", why)
+            return why
+        self._source = source
+        self.book.set_level(fresh.log.level)
+        self._resize(self._mind.size)
+        log.note("reload", "passed on to every member")
+        return ""
+
+    # --- control -------------------------------------------------------------------------------------------
+
+    def _served(self, caller: Caller, message: Message) -> None:
+        word = message.get("do")
+        if word == "status":
+            caller.say({"ok": True, **self.status()})
+        elif word == "reload":
+            why = self._reload()
+            caller.say({"ok": not why, "why": why})
+        elif word == "leave":
+            log.note("leave", "the supervisor ends, its members go on")
+            caller.say({"ok": True, "why": f"{len(self._mind.members)} members go on by themselves"})
+            self._deadlines.at(clock.now() + 0.1, lambda _: self._reactor.stop())
+        elif word in [kind.value for kind in Kind]:
+            self._order(caller, Kind(word), message.get("count", 0), message.get("program"))
+        else:
+            words = ["status", "reload", "leave", *(kind.value for kind in Kind)]
+            caller.say({"ok": False, "why": f"'do' is {str(word)[:40]!r}; it may be {', '.join(words)}"})
+
+    def _order(self, caller: Caller | None, kind: Kind, count: Any, program: Any = None) -> None:
+        if kind is Kind.SCALE:
+            try:
+                count = Count(1, MOST_MEMBERS).read(str(count))
+            except BadValue as fault:
+                raise ValueError(f"count: {fault}; {fault.mend}") from None
+        if program is not None and (not isinstance(program, str) or len(program) > 4096):
+            raise ValueError("program is no command line")
+        self._orders += 1
+        if caller is not None:
+            caller.lasting = True
+            self._callers[self._orders] = caller
+        if program is not None and not self._mind.working():
+            self._program_before[self._orders] = self._program
+            self._program = program
+        log.note("order", f"{kind.value}{f' to {count}' if kind is Kind.SCALE else ''}")
+        self._decide(mind.Order(self._orders, kind, count))
+
+    def _report(self, report: mind.Report) -> None:
+        log.note("order", report.text, done=report.done, good=report.good)
+        if report.done and report.id in self._program_before:
+            before = self._program_before.pop(report.id)
+            if not report.good:   # what broke must not be what the next restart begins with
+                self._program = before
+        caller = self._callers.get(report.id)
+        if caller is not None and not caller.closed:
+            caller.say({"ok": report.good, "why": report.text} if report.done else {"text": report.text})
+        if report.done:
+            self._callers.pop(report.id, None)
+
+    def status(self) -> dict[str, Any]:
+        """What there is to say of the fleet, as JSON takes it."""
+        members = []
+        for number, member in sorted(self._mind.members.items()):
+            run = self._runs.get(member.run)
+            held = self._sockets.get(number)
+            members.append({
+                "name": self._names.name(number), "state": member.state.value, "why": member.why,
+                "crashes": len(member.crashes), "pid": run.pid if run else None,
+                "listen": "{}:{}".format(*held.getsockname()[:2]) if held else "",
+                "told": run.last if run else {}})
+        ready = sum(m.state in (State.READY, State.REPLACING) for m in self._mind.members.values())
+        return {"wanted": self._mind.count, "ready": ready, "working": self._mind.working(),
+                "pid": os.getpid(), "members": members}
+
+
+def supervise(given: Given) -> int:
+    """Run a supervisor in the foreground; the exit code."""
+    from twisted.internet import reactor
+
+    loop: Any = reactor
+    try:
+        supervisor = Supervisor(given, loop)
+        supervisor.start()
+    except CannotSupervise as fault:
+        print(f"thymeflow: fleet cannot start: {fault}", file=sys.stderr)
+        return fault.code
+    return supervisor.run()
+
--- a/thymeflow/interface.py
+++ b/thymeflow/interface.py
@@ -338,8 +338,15 @@
     latency: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class Resized:
+    """The set of gateways is of another size from now on; this one keeps its number."""
+
+    gateways: int
+
+
 Event = Union[Membership, Request, ResponseStarted, AttemptEnded, ClientLeft, TimerFired, ProbeEnded,
-              PeerMessage, CounterReply]
+              PeerMessage, CounterReply, Resized]
 
 
 @dataclass(frozen=True, slots=True)
--- /dev/null
+++ b/thymeflow/lab/__init__.py
@@ -0,0 +1,1 @@
+"""The laboratory: what the program is tried against. Nothing of it is imported by a limiter."""
--- /dev/null
+++ b/thymeflow/net/assembly.py
@@ -0,0 +1,80 @@
+"""All parts of one limiter, wired. Nothing here decides, and nothing is connected before `start`."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+from typing import Any
+
+from thymeflow import Gateway
+from thymeflow import interface as api
+from thymeflow.net import clock, config
+from thymeflow.net.core import Core
+from thymeflow.net.counter import Counter
+from thymeflow.net.discovery import Discovery
+from thymeflow.net.front import Front
+from thymeflow.net.lifecycle import LINGER, Lifecycle
+from thymeflow.net.reload import Reload
+from thymeflow.net.upstream import Upstream
+
+AGENT_SHARE = 0.7     # of the descriptors: for user agents; the rest is for application servers
+MEMORY_SHARE = 0.25   # of the memory limit: for requests held
+ANSWER_SHARE = 0.15   # of the memory limit: for answers that user agents have not taken
+INPUT_SHARE = 0.05    # of the memory limit: for commands that have begun and are not whole
+
+
+class Limiter:
+    """One limiter: made, started, then run by the reactor until its lifecycle ends."""
+
+    def __init__(self, given: config.Config, reactor: Any, gateway: Gateway | None = None,
+                 load: Callable[[], config.Config] = config.load, linger: float = LINGER) -> None:
+        settings, limits = given.settings, given.settings.limits
+        self.given, self.reactor = given, reactor
+        self.deadlines = clock.Deadlines(reactor)
+        room = given.sockets - config.SPARE_SOCKETS
+        self.gateway = gateway or Gateway(settings, given.seed)
+        self.core = Core(settings, self.gateway, self.deadlines, int(given.memory * MEMORY_SHARE))
+        agents = int(room * AGENT_SHARE)
+        self.upstream = self.core.upstream = Upstream(reactor, self.deadlines, limits, room - agents)
+        self.front = Front(self.core, settings, self.deadlines, agents, int(given.memory * ANSWER_SHARE),
+                           int(given.memory * INPUT_SHARE))
+        longest = max((c.deadline for c in settings.classes), default=0.0)
+        self.lifecycle = Lifecycle(self.deadlines, self.core, self.front, longest, reactor.stop, linger)
+        self.on_list: Callable[[config.Listed], None] = lambda news: None   # who keeps the list beside us
+        self.changed(given.known)
+        self.discovery = Discovery(reactor, self.deadlines, given.discovery, given.known.membership.version,
+                                   self.changed)
+        self.core.discovery = self.discovery
+        self.counter: Counter | None = None
+        if given.counter is not None:
+            self.core.counter = self.counter = Counter(reactor, self.deadlines, given.counter)
+        self.reload = Reload(given, self.discovery, self.counter, self.resized, load)
+        self.lifecycle.reload = self.reload.now
+
+    def changed(self, news: config.Listed) -> None:
+        """A change of the list of application servers holds from now on."""
+        self.core.listed(news.membership, lambda: self.upstream.listed(news))
+        self.on_list(news)
+        if news.addresses:
+            self.lifecycle.listed()
+
+    def resized(self, gateways: int) -> None:
+        """The set of limiters is of another size from now on."""
+        self.front.reader.resized(gateways)
+        self.core.tell(api.Resized(gateways))
+
+    def start(self) -> None:
+        """Connect to counter and discovery, and begin to listen."""
+        self.connect()
+        self.listen()
+
+    def connect(self) -> None:
+        """Connect to counter and discovery."""
+        if self.counter is not None:
+            self.counter.connect()
+        self.discovery.start()
+
+    def listen(self, listen: Callable[[Front], Any] | None = None) -> None:
+        """Begin to listen; `listen` makes the port where the address is not for us to bind."""
+        where = self.given.listen
+        self.lifecycle.listening(listen(self.front) if listen else self.reactor.listenTCP(
+            where.port, self.front, backlog=511, interface=where.host))
--- a/thymeflow/net/clock.py
+++ b/thymeflow/net/clock.py
@@ -22,6 +22,11 @@
     return time.monotonic() + _OFFSET
 
 
+def monotonic() -> float:
+    """Seconds since some moment before the start; what service managers compare times with."""
+    return time.monotonic()
+
+
 class Deadlines:
     """A heap of deadlines behind a single timer of the reactor, armed anew as the head changes."""
 
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -108,6 +108,11 @@
         source = json.loads(Path(path).read_text())
     except (OSError, ValueError) as fault:
         raise ConfigError(f"{path}: {fault}") from None
+    return from_source(source, path, environment)
+
+
+def from_source(source: Any, path: str, environment: Mapping[str, str]) -> Config:
+    """The configuration in a JSON value that was read from `path`; ConfigError says what is wrong."""
     if not isinstance(source, dict):
         raise ConfigError(f"{path}: no JSON object")
     try:
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -106,13 +106,15 @@
 class Core:
     """The transactions in their table, with the module's events and actions in strict order."""
 
-    def __init__(self, settings: api.Settings, seed: int, deadlines: clock.Deadlines, memory: int) -> None:
+    def __init__(self, settings: api.Settings, gateway: Gateway, deadlines: clock.Deadlines,
+                 memory: int) -> None:
         self._settings, self._deadlines = settings, deadlines
-        self._gateway = Gateway(settings, seed)
+        self._gateway = gateway
         self._table: Table[Transaction] = Table(min(MOST_TRANSACTIONS, int(settings.limits.max_open) or 1))
         self._by_id: dict[str, int] = {}
         self._memory, self._held = memory, 0     # bytes of transactions that may be, and are, held
         self._events: deque[api.Event] = deque()
+        self.tally = dict.fromkeys(Verdict, 0)   # final answers so far
         self._busy = False
         self.upstream: Upstream
         self.counter: Counter | None = None
@@ -265,6 +267,7 @@
 
     def _answer(self, transaction: Transaction, answer: Answer) -> None:
         transaction.answered = True
+        self.tally[answer.verdict] += 1
         self._held -= transaction.offer.size
         if not transaction.due.called:
             transaction.due.callback(answer)
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -31,6 +31,7 @@
 IDLE = 2.0             # s: the same where places are wanted; before, it may be about to ask
 NEW = 0.05             # s: the same for one that has said nothing, as usual ones ask as they connect
 CROWDED = 0.35         # of the places: from here on they are wanted; user agents have a limit of their own
+FRESH = 0.25           # s: at the end, for one that has just connected and is about to ask
 LINGER = 1.0           # s: from an error line that ends a connection to its close
 DISCARD = 256 * 1024   # bytes that are read meanwhile and thrown away
 MOST_GOING = 24        # connections dropped to make room whose descriptors are not free yet
@@ -61,7 +62,7 @@
     def __init__(self, front: Front) -> None:
         self._front, self._parser = front, resp.Parser()
         self._places: deque[Place] = deque()
-        self._handle = -1
+        self.handle = -1
         self._reading = True        # what we told the transport
         self._last = False          # close once all is answered
         self._lingers = False       # and then first let the other end read the error line
@@ -75,7 +76,7 @@
 
     def connectionMade(self) -> None:
         """Take a slot."""
-        self._handle, self._since = self._front.agents.add(self), clock.now()
+        self.handle, self._since = self._front.agents.add(self), clock.now()
         super().connectionMade()
 
     def resumeProducing(self) -> None:
@@ -142,6 +143,10 @@
         """For how long it has had nothing open."""
         return 0.0 if self._places else now - self._since
 
+    def fresh(self, now: float) -> bool:
+        """Whether it has connected a moment ago and said nothing yet."""
+        return not self._spoken and now - self._since < FRESH
+
     def begun(self) -> tuple[bool, int]:
         """Whether nothing else is open, and the bytes held of a command that is not whole."""
         return not self._places, self._parser.held()
@@ -172,7 +177,7 @@
     def drop(self) -> None:
         """Leave the slot to another, now."""
         self._dropped = True
-        self._front.agents.remove(self._handle)
+        self._front.agents.remove(self.handle)
         self._front.going += 1
         self.transport.abortConnection()
 
@@ -263,7 +268,7 @@
         self._hold(-self._held)
         self._front.taken_in(-self._parser.held())
         self._parser = resp.Parser()
-        self._front.agents.remove(self._handle)
+        self._front.agents.remove(self.handle)
         self._front.going -= self._dropped
         for place in places:
             if place.due is not None and place.answer is None:
@@ -322,6 +327,20 @@
     def close(self) -> None:
         """Take nothing more: idle connections end now, the others with their last answer."""
         self.closing = True
+        now = clock.now()
         for agent in self.agents.all():
-            if not unread(agent.transport):   # what has come is read first, and answered before the end
-                agent.finish()
+            # Who has just connected has a request on its way: a close that crosses it would lose it.
+            if agent.fresh(now):
+                self._deadlines.at(now + FRESH, self._finish_later, agent.handle)
+            else:
+                self._finish(agent)
+
+    def _finish_later(self, handle: int) -> None:
+        agent = self.agents.get(handle)
+        if agent is not None:
+            self._finish(agent)
+
+    @staticmethod
+    def _finish(agent: UserAgent) -> None:
+        if not unread(agent.transport):   # what has come is read first, and answered before the end
+            agent.finish()
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -27,18 +27,23 @@
     """Goes from phase to phase, never back."""
 
     def __init__(self, deadlines: clock.Deadlines, core: Core, front: Front, longest: float,
-                 stop: Callable[[], None]) -> None:
+                 stop: Callable[[], None], linger: float = LINGER) -> None:
         self.phase = Phase.STARTING
         self._deadlines, self._core, self._front, self._longest = deadlines, core, front, longest
-        self._stop, self._port = stop, None
+        self._stop, self._linger = stop, linger
+        self.port: Any = None       # where it listens, and that as text
+        self.where = ""
         self._listed = self._closed = False
-        self.reload: Callable[[], None] = lambda: None   # set once there is something to reload
+        self.reload: Callable[[], object] = lambda: None   # set once there is something to reload
+        self.before_end: Callable[[], float] = lambda: 0.0   # last words, and the seconds that they want
+        self.entered: Callable[[Phase], None] = lambda phase: None   # who tells others of the phase
         front.able = lambda: self.phase in (Phase.SERVING, Phase.DRAINING)
         front.gone = self._look
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         log.note("phase", phase.value)
+        self.entered(phase)
 
     def listed(self) -> None:
         """A list with application servers is known."""
@@ -47,22 +52,22 @@
 
     def listening(self, port: Any) -> None:
         """User agents can connect."""
-        self._port = port
-        where = port.getHost()
-        log.note("listening", f"{where.host}:{where.port}")
+        self.port, host = port, port.getHost()
+        self.where = f"{host.host}:{host.port}"
+        log.note("listening", self.where)
         self._ready()
 
     def _ready(self) -> None:
-        if self.phase is Phase.STARTING and self._listed and self._port is not None:
+        if self.phase is Phase.STARTING and self._listed and self.port is not None:
             self._enter(Phase.SERVING)
 
-    def terminate(self) -> None:
-        """SIGTERM or SIGINT: end in good order."""
+    def terminate(self, linger: float | None = None) -> None:
+        """SIGTERM or SIGINT: end in good order; `linger` where nobody needs the time to notice."""
         if self.phase in (Phase.STARTING, Phase.SERVING):
             self._enter(Phase.DRAINING)
-            now = clock.now()
-            self._deadlines.at(now + LINGER, self._close)
-            self._deadlines.at(now + LINGER + self._longest + EXTRA, self._end)
+            stays = clock.now() + (self._linger if linger is None else linger)
+            self._deadlines.at(stays, self._close)
+            self._deadlines.at(stays + self._longest + EXTRA, self._end)
 
     def reread(self) -> None:
         """SIGHUP: harmless in every phase; while ending, what is in hand still wants its counter."""
@@ -70,8 +75,8 @@
             self.reload()
 
     def _close(self, _: int) -> None:
-        if self._port is not None:
-            self._port.stopListening()
+        if self.port is not None:
+            self.port.stopListening()
         self._closed = True
         self._front.close()
         self._look()
@@ -85,4 +90,8 @@
     def _end(self, _: int) -> None:
         if self.phase is not Phase.STOPPED:
             self._enter(Phase.STOPPED)
-            self._stop()
+            wants = self.before_end()
+            if wants > 0.0:
+                self._deadlines.at(clock.now() + wants, lambda _: self._stop())
+            else:
+                self._stop()
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -5,6 +5,7 @@
 import hashlib
 import random
 from collections.abc import Callable
+from dataclasses import replace
 from math import exp, inf, isfinite, sqrt
 from typing import Any
 
@@ -52,7 +53,7 @@
 class Store:
     """One customer's token bucket at this gateway, and what is known of the customer elsewhere."""
 
-    def __init__(self, plan: api.Plan, number: int, now: float, born: float) -> None:
+    def __init__(self, plan: api.Plan, number: int, now: float, born: float, start: float) -> None:
         self.plan, self.number, self.at, self.seen = plan, number, now, now
         self.own = self.others = 0.0                        # demand, units a second
         self.asked = self.charged = self.told = 0.0         # units since made; what the counter was told
@@ -63,20 +64,24 @@
         self.met = -inf                                     # last word of this customer in particular
         self.open, self.heard_from = 0, dict[int, tuple[int, float, float, float]]()
         # A restart forgets what was spent: start part full and fill as if since the start of this life.
-        fill = min(1.0, START_LEVEL + (now - born) * plan.rate / max(plan.burst, 1e-9))
-        self.fleet, self.members, self.count = plan.burst * fill, list[int](), 1
+        fill = min(1.0, start + (now - born) * plan.rate / max(plan.burst, 1e-9))
+        self.fleet, self.members, self.count, self.moved = plan.burst * fill, list[int](), 1, False
         self.level, self.guard, self.spread = 0.0, 0.0, -inf   # spread: when the whole set was last told
 
     def join(self, first: int, spread: int, gateways: int, born: float) -> None:
+        before, self.moved = self.count if self.members else 0, False
         self.count = min(max(1, spread), gateways)
         self.members = [(first + k) % gateways for k in range(self.count)]
         # Rendezvous hashing: every gateway finds the same meeting points, and they differ by customer.
         self.members.sort(key=lambda m: (self.number ^ m * 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9 % 2**64)
-        self.level = self.fleet / self.count
+        # In a set of another size the slice shrinks with the others' and never grows: nothing is minted.
+        less = min(1.0, before / self.count)
+        self.level = min(self.level, self.level * less) if before else self.fleet / self.count
         # One of a large set is met seldom: what was told then is all that the next request can go by.
         self.memory = self.memory if self.gathers else min(HOLD[1], max(HOLD[0], SPEAK_EVERY * self.count))
         # The ceiling's guard is safe alone: an even slice of rate and depth, empty at each start.
-        self.guard = min(self.plan.ceiling_burst, self.plan.ceiling_rate * (self.at - born)) / self.count
+        guard = min(self.plan.ceiling_burst, self.plan.ceiling_rate * (self.at - born)) / self.count
+        self.guard = min(self.guard, self.guard * less) if before else guard
 
     def part(self, own: float) -> float:   # of the quota by demand; the even slice while nothing is heard
         prior = PRIOR * self.plan.rate + 1e-9
@@ -173,8 +178,9 @@
 class Gateway:
     """One gateway: hand it every event in order and carry out the actions it returns."""
 
-    def __init__(self, settings: api.Settings, seed: int) -> None:
+    def __init__(self, settings: api.Settings, seed: int, start: float = START_LEVEL) -> None:
         self.settings, self.rng, self.limits = settings, random.Random(seed), settings.limits
+        self.start = start   # of the burst: 0 for one that joins a running set, where all is given out
         self.classes, self.plans = {c.name: c for c in settings.classes}, {p.name: p for p in settings.plans}
         self.servers, self.stores = dict[int, Server](), dict[int, Store]()   # stores by customer number
         self.jobs, self.timers = dict[str, Work](), dict[int, tuple[str, str]]()
@@ -192,7 +198,8 @@
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.Membership: self.on_membership, api.PeerMessage: self.on_note, api.ClientLeft: self.on_passed,
-            api.CounterReply: self.on_counter, api.ResponseStarted: self.on_passed}
+            api.CounterReply: self.on_counter, api.ResponseStarted: self.on_passed,
+            api.Resized: self.on_resized}
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:   # decide on one event
         self.now, self.actions = now, []
@@ -220,6 +227,13 @@
             if entry.state is not api.BackendState.GONE:
                 self.servers[entry.id], server.entry = server, entry
 
+    def on_resized(self, event: api.Resized) -> None:   # all that goes by the size of the set is taken anew
+        self.settings = replace(self.settings, gateways=event.gateways)
+        self.saved = 1.0 + RETRY[1] / event.gateways
+        self.budget = min(self.budget, self.saved)
+        for store in self.stores.values():
+            store.moved = True
+
     def choose(self, job: Work) -> Server | None:   # the lawful backend with the least wait
         ready = [s for s in self.servers.values() if s.entry.state is api.BackendState.READY]
         pool = [s for s in ready if s.fit(job.cls.name, self.now)]
@@ -386,13 +400,13 @@
         store = self.known(int.from_bytes(digest, "big"), plan)
         store.heard = self.heard   # carriers that are heard speak of those who matter
         store.refresh(self.now)
-        if not store.members:
+        if not store.members or store.moved:
             store.join(event.first, event.spread, self.settings.gateways, self.born)
         store.lump += SMOOTH * (event.units - store.lump) if store.lump else event.units
         return store
 
     def known(self, number: int, plan: api.Plan) -> Store:   # by its number
-        store = self.stores.get(number) or Store(plan, number, self.now, self.born)
+        store = self.stores.get(number) or Store(plan, number, self.now, self.born, self.start)
         self.stores[number], store.seen = store, self.now
         return store
 
--- /dev/null
+++ b/thymeflow/state/record.py
@@ -0,0 +1,171 @@
+"""The snapshot as it is written: typed records, and bytes with a head that tells whether to believe them.
+
+    thymeflow-snapshot VERSION SITE TAKEN LENGTH DIGEST\n
+    {...}
+
+Everything is checked before anything is used: the head, the length, the digest (BLAKE2b), then each value's
+type by msgspec. Whoever reads gets one `SnapshotError` with a line that says what is wrong and where.
+"""
+
+from __future__ import annotations
+
+import hashlib
+from math import isfinite
+from typing import Any
+
+import msgspec
+
+from thymeflow import interface as api
+
+MAGIC = "thymeflow-snapshot"
+VERSION = 1
+MOST_BYTES = 64 << 20      # a larger file is no snapshot of ours
+MOST_HEAD = 200
+AHEAD = 1.0                # s: by how much a snapshot may be newer than our clock, for clocks that step
+
+
+class SnapshotError(Exception):
+    """The snapshot is not used; the text says why in one line."""
+
+
+class StoreRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """A customer's store at one limiter. Amounts are units, times Unix seconds."""
+
+    number: int
+    plan: str
+    at: float
+    seen: float
+    level: float
+    fleet: float
+    guard: float
+    own: float
+    others: float
+    asked: float
+    charged: float
+    told: float
+    lump: float
+    excess: float
+    memory: float
+    count: int
+    members: tuple[int, ...]
+    gathers: bool = False
+    window: int = -1          # the counter's window, its total there, and when that was read
+    total: float = 0.0
+    read: float = 0.0
+    unsure_window: int = -1   # units of calls whose answer never came, and in which window
+    unsure: float = 0.0
+
+
+class HealthRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """What was seen of one application server in its present life."""
+
+    id: int
+    started: float
+    pace: float
+    gap: float
+    failures: dict[str, tuple[int, float]] = {}   # by class: failures in a row, end of the ejection or 0
+
+
+class ServerRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """An application server of the list."""
+
+    id: int
+    host: str
+    port: int
+    zone: str
+    state: int
+    cell: int
+    kind: str
+    weight: float
+    started: float
+
+
+class Snapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+    """All that a limiter remembers of one life."""
+
+    site: str
+    name: str
+    life: str
+    taken: float
+    final: bool               # written when nothing more could be sent on
+    gateways: int
+    pressure: float
+    usual: float
+    budget: float
+    call_rate: float
+    version: int              # of the list
+    servers: tuple[ServerRecord, ...]
+    health: tuple[HealthRecord, ...]
+    stores: tuple[StoreRecord, ...]
+
+
+_decoder = msgspec.json.Decoder(Snapshot)
+_encoder = msgspec.json.Encoder()
+
+
+def site_of(settings: api.Settings) -> str:
+    """What must be equal for a store to mean the same: plans and classes, not the size of the set."""
+    told = repr((settings.plans, settings.classes, settings.zone, settings.index))
+    return hashlib.blake2b(told.encode(), digest_size=8).hexdigest()
+
+
+def pack(snapshot: Snapshot) -> bytes:
+    """The file's bytes."""
+    body = _encoder.encode(snapshot)
+    digest = hashlib.blake2b(body, digest_size=16).hexdigest()
+    head = f"{MAGIC} {VERSION} {snapshot.site} {snapshot.taken:.6f} {len(body)} {digest}\n"
+    return head.encode() + body
+
+
+def _finite(value: Any, where: str) -> None:
+    if isinstance(value, float):
+        if not isfinite(value) or abs(value) > 1e15:
+            raise SnapshotError(f"{where} is {value}, which no amount can be")
+    elif isinstance(value, msgspec.Struct):
+        for name in value.__struct_fields__:
+            _finite(getattr(value, name), f"{where}.{name}")
+    elif isinstance(value, dict):
+        for key, item in value.items():
+            _finite(item, f"{where}[{key!r}]")
+    elif isinstance(value, tuple):
+        for place, item in enumerate(value):
+            _finite(item, f"{where}[{place}]")
+
+
+def unpack(data: bytes) -> Snapshot:
+    """The snapshot in a file's bytes; SnapshotError where they are not whole and sound."""
+    if len(data) > MOST_BYTES:
+        raise SnapshotError(f"it holds {len(data)} bytes, over the {MOST_BYTES} that one may have")
+    head, mark, body = data.partition(b"\n")
+    words = head[:MOST_HEAD].decode("ascii", "replace").split(" ")
+    if not mark or words[0] != MAGIC or len(words) < 2:
+        raise SnapshotError(f"it does not begin with the line '{MAGIC} VERSION ...'")
+    if words[1] != str(VERSION):
+        raise SnapshotError(f"it is of version {words[1][:20]}, and this program reads version {VERSION}")
+    if len(words) != 6 or not words[4].isdigit():
+        raise SnapshotError("its first line is damaged")
+    if len(body) != int(words[4]):
+        raise SnapshotError(f"it was cut: {len(body)} bytes of {words[4]} are there")
+    if hashlib.blake2b(body, digest_size=16).hexdigest() != words[5]:
+        raise SnapshotError("its checksum does not fit its content")
+    try:
+        snapshot = _decoder.decode(body)
+    except (msgspec.DecodeError, RecursionError) as fault:
+        raise SnapshotError(f"a value is not of its type: {fault}") from None
+    _finite(snapshot, "snapshot")
+    if words[2] != snapshot.site or words[3] != f"{snapshot.taken:.6f}":
+        raise SnapshotError("its first line and its content differ")
+    return snapshot
+
+
+def believed(snapshot: Snapshot, site: str, name: str, now: float, fresh: float) -> None:
+    """Whether a sound snapshot is ours and of now; SnapshotError says why it is not."""
+    if snapshot.site != site:
+        raise SnapshotError(f"it is of another site or place in the set ({snapshot.site}, here {site})")
+    if snapshot.name != name:
+        raise SnapshotError(f"it is of the limiter {snapshot.name!r}, here {name!r}")
+    age = now - snapshot.taken
+    if age < -AHEAD:
+        raise SnapshotError(f"it was taken {-age:.1f} s in the future")
+    if age > fresh:
+        raise SnapshotError(f"it is {age:.1f} s old, and is read within {fresh:g} s")
