--- a/thymeflow/daemon/activation.py
+++ b/thymeflow/daemon/activation.py
@@ -8,6 +8,7 @@
 
 FIRST = 3          # the first descriptor handed in
 MOST = 16
+BACKLOG = 511      # connections that wait to be accepted, as on the run line
 
 
 class BadDescriptor(Exception):
@@ -34,6 +35,20 @@
     return found
 
 
+def bound(host: str, port: int) -> socket.socket:
+    """A listening socket of our own, made so that it can be passed on; OSError where the address is not to be had."""
+    made = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
+    try:
+        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        made.bind((host, port))
+        made.listen(BACKLOG)
+    except OSError:
+        made.close()
+        raise
+    made.setblocking(False)
+    return made
+
+
 def handed_in(environment: MutableMapping[str, str], pid: int) -> list[socket.socket]:
     """The sockets handed in to this very process; the variables are taken out, so that no child reads them.
 
--- a/thymeflow/daemon/handover.py
+++ b/thymeflow/daemon/handover.py
@@ -119,7 +119,9 @@
     (Taker.CLAIMING, Told.YOURS): (Taker.PROVING, (Move.ACCEPT,)),
     (Taker.PROVING, Told.DRAINING): (Taker.HOLDING, (Move.SETTLE,)),
     (Taker.PROVING, Told.BROKEN): (Taker.FAILED, (Move.RETREAT,)),
-    (Taker.PROVING, Told.LATE): (Taker.FAILED, (Move.RETREAT,)),
+    # The old one may have drained already, its word on the way: only the end of the connection tells that it has
+    # not, as what it said before comes first. To retreat on a guess could leave nobody who accepts.
+    (Taker.PROVING, Told.LATE): (Taker.PROVING, ()),
     (Taker.HOLDING, Told.BROKEN): (Taker.HOLDING, ()),
     (Taker.HOLDING, Told.LATE): (Taker.HOLDING, ()),
     (Taker.FAILED, Told.BROKEN): (Taker.FAILED, ()),
--- a/thymeflow/daemon/service.py
+++ b/thymeflow/daemon/service.py
@@ -109,7 +109,10 @@
         if fault_text := self.open_control():
             raise CannotStart(fault_text, CANNOT_LISTEN)
         self.limiter.connect()
-        self.listen(handed[0] if handed else None)
+        try:
+            self.listen(handed[0] if handed else None)
+        except OSError as fault:
+            raise CannotStart(f"{self.given.listen}: {fault.strerror}", CANNOT_LISTEN) from None
         for more in handed[1:]:
             log.note("sockets", f"{more.getsockname()} was handed in and is not used")
             more.close()
@@ -141,13 +144,13 @@
 
     def listen(self, handed: socket.socket | None) -> None:
         """Begin to accept, on a socket made elsewhere or on one of our own."""
-        if handed is None:
-            self.limiter.listen()
-            return
+        # Ours is adopted as well: a port that Twisted has made shuts its socket down when it closes, and with it
+        # the copy that a successor holds.
+        listening = handed or activation.bound(self.given.listen.host, self.given.listen.port)
 
         def adopt(front: Any) -> Any:
-            port = self.reactor.adoptStreamPort(handed.fileno(), handed.family, front)
-            handed.close()
+            port = self.reactor.adoptStreamPort(listening.fileno(), listening.family, front)
+            listening.close()
             return port
 
         self.limiter.listen(adopt)
@@ -242,7 +245,6 @@
     early: list[int] = []
     signal.signal(signal.SIGHUP, lambda number, _: early.append(number))
     from twisted.internet import reactor
-    from twisted.internet.error import CannotListenError
 
     loop: Any = reactor
     try:
@@ -251,9 +253,6 @@
     except config.ConfigError as fault:
         print(f"thymeflow: bad configuration: {fault}", file=sys.stderr)
         return BAD_CONFIGURATION
-    except CannotListenError as fault:
-        print(f"thymeflow: cannot listen: {fault}", file=sys.stderr)
-        return CANNOT_LISTEN
     except CannotStart as fault:
         print(f"thymeflow: cannot start: {fault}", file=sys.stderr)
         return fault.code
--- a/thymeflow/fleet/mind.py
+++ b/thymeflow/fleet/mind.py
@@ -207,7 +207,6 @@
     joins: bool = False
     again: bool = False              # start once more after the end that is under way
     killed: bool = False
-    asked: bool = False              # to end
     crashes: deque[float] = field(default_factory=deque)
     why: str = ""                    # its last unwanted end
 
@@ -225,7 +224,8 @@
     at: int = -1                     # the member being rolled
     total: int = 0
     failed: str = ""
-    unspoken: set[int] = field(default_factory=set)   # of a scale: members not reported yet
+    span: range = range(0)                            # of a scale: the members that come or go
+    unspoken: set[int] = field(default_factory=set)   # those of them not reported yet
 
 
 class Mind:
@@ -268,7 +268,8 @@
         due += self._leaving.values()
         if self._work is not None and self._work.at >= 0:
             rolled = self.members[self._work.at]
-            due.append(rolled.healthy_since + self._settings.settle)
+            if rolled.state is State.READY:
+                due.append(rolled.healthy_since + self._settings.settle)
         return min(due, default=inf)
 
     def member_of(self, run: int) -> Member | None:
@@ -323,7 +324,6 @@
         member.move(Move.START)
         member.run = self._new_run(member)
         member.due, member.healthy_since, member.killed = self._now + self._settings.ready, inf, False
-        member.asked = False
         self._actions.append(Start(member.run, member.number, member.joins, False))
         # Whatever it comes back from, its slice is its own again: only the first start is a joining.
         member.joins = False
@@ -344,7 +344,7 @@
             self._after_stop(member)
         elif member.state not in (State.STOPPING, State.DOWN):
             member.move(Move.STOP)
-            member.due, member.killed, member.asked = self._now + self._settings.stop, False, True
+            member.due, member.killed = self._now + self._settings.stop, False
             self._actions.append(Stop(member.run))
 
     def _after_stop(self, member: Member) -> None:
@@ -453,7 +453,7 @@
     def _scale(self, order: Order) -> None:
         before, self.count = self.count, order.count
         span = range(min(before, order.count), max(before, order.count))
-        self._work = Work(order, total=len(span), unspoken=set(span))
+        self._work = Work(order, total=len(span), span=span, unspoken=set(span))
         if order.count > before:
             # First all are told, so that requests of customers whose set is larger by now are not refused.
             self._resize(order.count)
@@ -509,21 +509,23 @@
             return
         if member.state is State.WAITING:
             self._start(member)
-        elif member.state is State.STARTING and not member.killed:
-            member.killed = True
-            self._say("member", f"{member.number} was not ready within {self._settings.ready:g} s: killed")
-            self._actions.append(Kill(member.run))
-            member.due = self._now + self._settings.ready
-        elif member.state is State.STOPPING and not member.killed:
-            member.killed = True
-            self._say("member", f"{member.number} did not end within {self._settings.stop:g} s: killed")
-            self._actions.append(Kill(member.run))
-            member.due = self._now + self._settings.stop
+        elif member.state is State.STARTING:
+            self._kill(member, f"was not ready within {self._settings.ready:g} s", self._settings.ready)
+        elif member.state is State.STOPPING:
+            self._kill(member, f"did not end within {self._settings.stop:g} s", self._settings.stop)
         elif member.state is State.REPLACING and member.coming >= 0:
             self._actions.append(Kill(member.coming))
             self._runs.pop(member.coming, None)
             self._not_replaced(member, f"was not ready within {self._settings.ready:g} s")
 
+    def _kill(self, member: Member, why: str, again: float) -> None:
+        # A process that cannot die at once, in the middle of a disk write, is told again and not waited for.
+        if not member.killed:
+            member.killed = True
+            self._say("member", f"{member.number} {why}: killed")
+        self._actions.append(Kill(member.run))
+        member.due = self._now + again
+
     def _turn_down(self, work: Work) -> None:
         if all(m.state is State.DOWN for m in self.members.values()) and not self._leaving:
             self._actions += [Report(work.order.id, "all have ended", True), Exit()]
@@ -535,11 +537,11 @@
             if member.number in work.unspoken and member.state in (State.READY, State.DOWN):
                 work.unspoken.discard(member.number)
                 self._actions.append(Report(work.order.id, f"member {member.number} is {member.state.value}"))
-        looping = [m for m in self.members.values() if m.state is State.LOOPING]
+        fresh = [m for m in self.members.values() if m.number in work.span and m not in gone]
+        looping = [m for m in fresh if m.state is State.LOOPING]
         if looping:
             self._stop_work(f"member {looping[0].number} is in a crash loop: {looping[0].why}")
-        elif all(m.state is State.DOWN for m in gone) and all(
-                m.state in (State.READY, State.REPLACING) for m in self.members.values() if m not in gone):
+        elif all(m.state is State.DOWN for m in gone) and all(m.state is State.READY for m in fresh):
             for member in gone:
                 del self.members[member.number]
             self._resize(self.count)
--- a/thymeflow/fleet/supervisor.py
+++ b/thymeflow/fleet/supervisor.py
@@ -36,7 +36,6 @@
 from thymeflow.settings.units import BadValue, Count
 
 FIND = 1.0          # s: in which a member that runs answers
-BACKLOG = 511
 MOST_MEMBERS = 256
 CALLERS = 32
 
@@ -245,16 +244,7 @@
         held = self._sockets.get(number)
         if held is None:
             where = roster.listen_of(self._fleet.listen, number, self._ports)
-            family = socket.AF_INET6 if ":" in where.host else socket.AF_INET
-            held = socket.socket(family, socket.SOCK_STREAM)
-            held.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-            try:
-                held.bind((where.host, where.port))
-                held.listen(BACKLOG)
-            except OSError:
-                held.close()
-                raise
-            held.setblocking(False)
+            held = activation.bound(where.host, where.port)
             self._sockets[number] = held
         self._ports[str(number)] = held.getsockname()[1]
         return held
