Tell of a child's end also where it came before anybody followed it

Cause: a program that ends at once, such as /bin/false in an upgrade, was waited for inside spawnProcess; its pid read None, the order answered with a TypeError, and the end was told to nobody. A status after a reload was up to half a second old, too. Change: a child keeps how it ended until it is followed; watches are told after a reload at once.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -111,8 +111,9 @@
         assert serves(before["members"][1])                      # it waited in the queue of the held socket
         fleet.ready(3)
         assert fleet.ask(do="scale", count=4)["ok"]
-        status = fleet.ready(4)
-        assert {m["told"]["gateways"] for m in status["members"]} == {4}
+        end = time.monotonic() + PATIENCE                        # told by signal: heard of in a moment
+        while {m["told"].get("gateways") for m in fleet.ready(4)["members"]} != {4}:
+            assert time.monotonic() < end
         assert fleet.ask(do="scale", count=2)["ok"] and len(fleet.ready(2)["members"]) == 2
         answer = fleet.ask(do="scale", count="many")
         assert not answer["ok"] and "no whole number" in answer["why"]
--- a/thymeflow/daemon/service.py
+++ b/thymeflow/daemon/service.py
@@ -207,6 +207,7 @@
         good = self.limiter.reload.now()
         self.reloaded = " | ".join(filter(None, (self.limiter.reload.last, ours)))
         self.notifier.tell(ready=1)
+        self.answers.tell()
         return good and not ours
 
     def _owner(self) -> bool:
--- a/thymeflow/fleet/run.py
+++ b/thymeflow/fleet/run.py
@@ -74,7 +74,7 @@
 
     def signal(self, number: int) -> None:
         """Send it a signal, unless it is over."""
-        if not self.over:
+        if not self.over and self.pid > 0:
             with contextlib.suppress(ProcessLookupError):
                 os.kill(self.pid, number)
 
@@ -83,15 +83,22 @@
     """A process that we started: its end comes from the system."""
 
     def __init__(self) -> None:
-        self.run: Run | None = None
+        self._run: Run | None = None
+        self._how = ""        # its end, where that came before anybody followed it
+
+    def follow(self, run: Run) -> None:
+        """Tell a run of its end, which may have come already."""
+        self._run = run
+        if self._how:
+            run.end(self._how)
 
     def processEnded(self, reason: Failure) -> None:
         """It has ended and was waited for."""
         value: Any = reason.value
         code, number = getattr(value, "exitCode", None), getattr(value, "signal", None)
-        how = f"was ended by {signal.Signals(number).name}" if number else f"ended with code {code}"
-        if self.run is not None:
-            self.run.end(how)
+        self._how = f"was ended by {signal.Signals(number).name}" if number else f"ended with code {code}"
+        if self._run is not None:
+            self._run.end(self._how)
 
 
 class Found:
@@ -99,8 +106,12 @@
 
     def __init__(self, reactor: Any, pid: int) -> None:
         self._reactor, self._descriptor = reactor, os.pidfd_open(pid)
-        self.run: Run | None = None
-        reactor.addReader(self)
+        self._run: Run | None = None
+
+    def follow(self, run: Run) -> None:
+        """Tell a run of its end; the descriptor is readable also where that has come already."""
+        self._run = run
+        self._reactor.addReader(self)
 
     def fileno(self) -> int:
         """What the reactor waits on."""
@@ -114,8 +125,8 @@
         """Readable: it has ended."""
         self._reactor.removeReader(self)
         os.close(self._descriptor)
-        if self.run is not None:
-            self.run.end("ended (it was not started by this supervisor)")
+        if self._run is not None:
+            self._run.end("ended (it was not started by this supervisor)")
 
     def connectionLost(self, _: Any) -> None:
         """The reactor stops."""
@@ -140,4 +151,4 @@
         transport = reactor.spawnProcess(child, words[0], list(words), environment, childFDs=passed)
     finally:
         os.close(nothing)
-    return child, int(transport.pid)
+    return child, int(transport.pid or 0)   # 0: it has ended by now, which the child tells
--- a/thymeflow/fleet/supervisor.py
+++ b/thymeflow/fleet/supervisor.py
@@ -29,7 +29,7 @@
 from thymeflow.daemon.service import BAD_CONFIGURATION, CANNOT_LISTEN, NAME_HELD
 from thymeflow.fleet import mind, roster
 from thymeflow.fleet.mind import Kind, Mind, State
-from thymeflow.fleet.run import Found, Run, command, spawn
+from thymeflow.fleet.run import Child, Found, Run, command, spawn
 from thymeflow.net import clock, config, log
 from thymeflow.observe.structured import Logbook
 from thymeflow.settings import Settings, SettingsError
@@ -294,7 +294,7 @@
         log.note("started", f"{name}, pid {pid}{', to take over' if action.replaces else ''}", number=number)
         self._follow(action.run, number, pid, child)
 
-    def _follow(self, run: int, number: int, pid: int, process: Any) -> None:
+    def _follow(self, run: int, number: int, pid: int, process: Child | Found) -> None:
         def heard(status: Message) -> None:
             serves = status.get("phase") == "serving"
             self._decide(mind.Told(run, str(status.get("life")), serves, bool(status.get("healthy"))))
@@ -304,7 +304,9 @@
             self._decide(mind.Ended(run, how))
 
         followed = Run(self._reactor, self._deadlines, self._names.path(number, "sock"), pid, heard, ended)
-        self._runs[run] = process.run = followed
+        self._runs[run] = followed
+        # Not at once: the mind is still at the actions among which this start was one.
+        self._reactor.callLater(0, process.follow, followed)
         followed.link()
 
     def _resize(self, size: int) -> None:
