--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -13,6 +13,7 @@
 import sys
 import time
 from collections.abc import Callable
+from functools import partial
 from pathlib import Path
 from typing import Any
 
@@ -108,9 +109,9 @@
         environment = {**os.environ, "BALANCER_CONFIG": str(limiter.path), "LISTEN_FDS": "1"}
         with socket.create_server(("127.0.0.1", 0)) as ours, socket.socket() as idle:
             for given, good in ((idle, False), (ours, True)):
-                os.dup2(given.fileno(), 3) if given.fileno() != 3 else None
+                # In the child alone: descriptor 3 of this process belongs to whoever runs the tests.
                 process = subprocess.Popen(shell, cwd=ROOT, env=environment, pass_fds=(3,), text=True,
-                                           stderr=subprocess.PIPE)
+                                           stderr=subprocess.PIPE, preexec_fn=partial(os.dup2, given.fileno(), 3))
                 if good:
                     limiter.process, limiter.port = process, ours.getsockname()[1]
                     line_of(process, "phase: serving")
--- a/thymeflow/fleet/supervisor.py
+++ b/thymeflow/fleet/supervisor.py
@@ -299,10 +299,29 @@
             serves = status.get("phase") == "serving"
             self._decide(mind.Told(run, str(status.get("life")), serves, bool(status.get("healthy"))))
 
-        def ended(how: str) -> None:
+        def over(how: str) -> None:
             self._runs.pop(run, None)
             self._decide(mind.Ended(run, how))
 
+        def ended(how: str) -> None:
+            if isinstance(process, Child):
+                over(how)
+                return
+            # One that was found may have been in the middle of a hand-over that the last supervisor began: then
+            # its successor answers to the name, and that is the same member.
+            asking = ask.ask(self._reactor, self._deadlines, self._names.path(number, "sock"), {"do": "status"},
+                             clock.now() + FIND)
+            asking.addCallbacks(succeeded, lambda _: over(how), callbackArgs=(how,))
+
+        def succeeded(status: Message, how: str) -> None:
+            try:
+                found = Found(self._reactor, status["pid"])
+            except (OSError, KeyError, TypeError):
+                over(how)
+            else:
+                log.note("adopted", f"{self._names.name(number)}, pid {status['pid']}, which took over")
+                self._follow(run, number, status["pid"], found)
+
         followed = Run(self._reactor, self._deadlines, self._names.path(number, "sock"), pid, heard, ended)
         self._runs[run] = followed
         # Not at once: the mind is still at the actions among which this start was one.
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -134,7 +134,8 @@
         due: Deferred[Answer] = Deferred(lambda _: self._left(handle))
         if self._table.full() or self._held + offer.size > self._memory:
             # Turned away before the module, as the open cap has it: nothing was sent on.
-            log.say("unavailable", f"{len(self._table)} transactions hold {self._held} bytes")
+            log.say("unavailable", f"{len(self._table)} transactions hold {self._held} bytes",
+                    transactions=len(self._table), held=self._held)
             handle = -1
             due.callback(Answer(Verdict.UNAVAILABLE, wait=0.1))
             return due
@@ -292,7 +293,8 @@
         # Guards the rule that each transaction gets one final answer: the module should have given it.
         transaction = self._table.get(handle)
         if transaction is not None and not transaction.answered:
-            log.say("overdue", f"{transaction.id} had no answer from the module by its deadline")
+            log.say("overdue", f"{transaction.id} had no answer from the module by its deadline",
+                    request=transaction.id)
             self._answer(transaction, Answer(Verdict.FAILED))
             self.tell(api.ClientLeft(transaction.id))
 
--- a/thymeflow/net/counter.py
+++ b/thymeflow/net/counter.py
@@ -139,7 +139,7 @@
 
     def _down(self, failure: Any) -> None:
         self._dialing, self._again = False, clock.now() + PAUSE
-        log.say("counter down", f"{self._address}: {failure.getErrorMessage()}")
+        log.say("counter down", f"{self._address}: {failure.getErrorMessage()}", address=self._address)
         self._fail_unwritten()
 
     def _fail_unwritten(self) -> None:
@@ -169,7 +169,8 @@
             return
         head = self.written[0] if self.written else waiting
         if self._wire is not None and now - max(self._heard, head.begun) > DEAD:
-            log.say("counter silent", f"{self._address}: no answer for {DEAD:g} s, connecting anew")
+            log.say("counter silent", f"{self._address}: no answer for {DEAD:g} s, connecting anew",
+                    address=self._address, waiting=len(self.written))
             self._wire.hang_up()
             self.lost()
 
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -213,7 +213,7 @@
         if turn != self._turn:
             return
         self._watching, self._turn = None, turn + 1
-        log.say("discovery", f"watch at {self._address} broke: {why}")
+        log.say("discovery", f"watch at {self._address} broke: {why}", address=self._address, version=self._version)
         self._deadlines.at(clock.now() + PAUSE, self._watch, self._turn)
 
     def _line(self, line: bytes) -> None:
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -225,7 +225,8 @@
         if self._front.held > self._front.most_held:
             # Guards the memory limit, past which the whole limiter would be killed: one user agent that
             # asks behind its own slow request, or takes no answers, is let go instead.
-            log.say("backlog", f"{self._front.held} bytes of answers are held; a connection was closed")
+            log.say("backlog", f"{self._front.held} bytes of answers are held; a connection was closed",
+                    held=self._front.held)
             self.transport.abortConnection()
 
     def _flush(self) -> None:
@@ -303,7 +304,8 @@
             now = clock.now()
             least = max(self.agents.all(), key=lambda agent: agent.spare(now))
             if not least.spare(now) or self.going >= MOST_GOING:
-                log.say("user agents", f"all {len(self.agents)} connections are in use; a new one was closed")
+                log.say("user agents", f"all {len(self.agents)} connections are in use; a new one was closed",
+                        connections=len(self.agents))
                 return None
             least.drop()
         return UserAgent(self)
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -42,7 +42,7 @@
 
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
-        log.note("phase", phase.value)
+        log.note("phase", phase.value, phase=phase.value)
         self.entered(phase)
 
     def listed(self) -> None:
@@ -54,7 +54,7 @@
         """User agents can connect."""
         self.port, host = port, port.getHost()
         self.where = f"{host.host}:{host.port}"
-        log.note("listening", self.where)
+        log.note("listening", self.where, port=host.port)
         self._ready()
 
     def _ready(self) -> None:
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -127,7 +127,7 @@
 
     def garbled(self, fault: str) -> None:
         """The pass that is out may have run, and its answer cannot be told."""
-        log.say("application server garbled", f"{self.pool.address}: {fault}")
+        log.say("application server garbled", f"{self.pool.address}: {fault}", address=self.pool.address)
         self.hang_up()
         self.upstream.spoilt(self)
 
@@ -199,7 +199,7 @@
                 pool.waiting.append(handle)
                 self._dial(pool)
             else:
-                log.say("pool", f"all {self._most} connections to application servers are busy")
+                log.say("pool", f"all {self._most} connections to application servers are busy", most=self._most)
                 self._end(handle, Outcome(api.Status.CONNECT_FAILED))
         return ended
 
@@ -240,7 +240,7 @@
 
     def _not_dialled(self, failure: Any, pool: Pool) -> None:
         pool.dialing, self._count = pool.dialing - 1, self._count - 1
-        log.say("connect failed", f"{pool.address}: {failure.getErrorMessage()}")
+        log.say("connect failed", f"{pool.address}: {failure.getErrorMessage()}", address=pool.address)
         # Each waiting pass has a dial of its own, but any connection that came free may have served it.
         if len(pool.waiting) > pool.dialing:
             self._end(pool.waiting.popleft(), Outcome(api.Status.CONNECT_FAILED))
@@ -298,7 +298,8 @@
         handle, connection.carries = connection.carries, -1
         self._count -= 1
         if handle >= 0:
-            log.say("reset", f"{connection.pool.address} broke a connection with a proxy pass out")
+            address = connection.pool.address
+            log.say("reset", f"{address} broke a connection with a proxy pass out", address=address)
             self._end(handle, Outcome(api.Status.RESET if connection.flushed else api.Status.CONNECT_FAILED))
         elif connection in connection.pool.idle:
             connection.pool.idle.remove(connection)
