Let a supervisor's last answer leave before it ends, however slow the disk

Cause: the end was set 0.1 s after the last report, counted from the same turn of the reactor, which then wrote the roster; on a busy disk that took longer, and the reactor stopped before it had written the answer to `down`. Change: the time is counted from the next turn (Supervisor._end).

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -41,7 +41,7 @@
                 answer: dict[str, Any] = json.loads(text)
                 if "ok" in answer:
                     return answer
-        raise ConnectionError
+        raise ConnectionError((self.ini.parent / "log").read_text()[-3000:])
 
     def status(self) -> dict[str, Any]:
         try:
--- a/thymeflow/fleet/supervisor.py
+++ b/thymeflow/fleet/supervisor.py
@@ -36,6 +36,7 @@
 from thymeflow.settings.units import BadValue, Count
 
 FIND = 1.0          # s: in which a member that runs answers
+LAST_WORDS = 0.1    # s: for the last answer to leave
 MOST_MEMBERS = 256
 CALLERS = 32
 
@@ -188,6 +189,11 @@
                                (signal.SIGHUP, self._reload)):
             signal.signal(number, lambda *_, served=served: self._reactor.callFromThread(served))
 
+    def _end(self) -> None:
+        # Counted from the reactor's next turn: this one may still wait for the disk, and what was said last would
+        # not have left when the time had passed.
+        self._reactor.callLater(0, self._reactor.callLater, LAST_WORDS, self._reactor.stop)
+
     def _down(self) -> None:
         self._order(None, Kind.DOWN, 0)
 
@@ -213,7 +219,7 @@
                     self._report(action)
                 case mind.Exit():
                     self._notifier.tell(stopping=1)
-                    self._deadlines.at(clock.now() + 0.1, lambda _: self._reactor.stop())
+                    self._end()
         self._keep()
         if self._tick:
             self._deadlines.cancel(self._tick)
@@ -367,7 +373,7 @@
         elif word == "leave":
             log.note("leave", "the supervisor ends, its members go on")
             caller.say({"ok": True, "why": f"{len(self._mind.members)} members go on by themselves"})
-            self._deadlines.at(clock.now() + 0.1, lambda _: self._reactor.stop())
+            self._end()
         elif word in [kind.value for kind in Kind]:
             self._order(caller, Kind(word), message.get("count", 0), message.get("program"))
         else:
