Fail the proof of the fleet where any request failed

Cause: with the telling of the set's size taken out on purpose, prove-fleet still passed: 83 requests were answered with an error, and the share refused with room differed by only 0.017. Change: `failed` is counted, stands in the last line and has to be 0; no stand-in server fails there by itself.

--- a/benchmarks/prove_fleet.py
+++ b/benchmarks/prove_fleet.py
@@ -202,16 +202,18 @@
             requests=len(results), unanswered=len(unanswered), twice=len(twice) + len(world.sent_twice()),
             lost_to_kill=sum(r.verdict == "unanswered" and r.killed for r in results),
             refused_connects=verdicts["refused connect"],
+            failed=verdicts["failed"],     # no server here fails: a member that knows another size of the set does
             minted_units=round(max(0.0, max(sent) - allowed), 1))
 
     def verdict(self) -> int:
         """The last line, and the exit code."""
         facts = self.facts
         order = ("requests", "unanswered", "twice", "ready_s", "refused_connects", "late_joiner_gap", "minted_units",
-                 "rss_mb_each", "lost_to_kill")
+                 "rss_mb_each", "lost_to_kill", "failed")
         missed = [name for name in order if name not in facts]
         bad = bool(self.faults or missed or facts["unanswered"] or facts["twice"] or facts["minted_units"]
-                   or facts["late_joiner_gap"] > MOST_GAP or facts["refused_connects"] or facts["requests"] < 1000)
+                   or facts["late_joiner_gap"] > MOST_GAP or facts["refused_connects"] or facts["failed"]
+                   or facts["requests"] < 1000)
         for fault in self.faults + [f"not measured: {name}" for name in missed]:
             self.say(f"FAULT {fault}")
         print("prove-fleet: " + " ".join(f"{name}={facts.get(name, '?')}" for name in order), flush=True)
