Take out an assertion of the fleet's tests that could not fail

Cause: it looked for words that the program never writes. Change: the line is gone; the table that follows it is what is checked.

--- a/tests/test_fleet.py
+++ b/tests/test_fleet.py
@@ -145,7 +145,6 @@
         assert not answer["ok"] and "the old settings stay" in answer["why"]
         limiter.path.write_text(good)
         assert fleet.ask(do="reload")["ok"]
-        assert "another order" not in cli("fleet", "status", "--state", str(fleet.state)).stdout
         table = cli("fleet", "status", "--state", str(fleet.state)).stdout
         assert "3 of 3 members are ready" in table and "n2" in table
 
