Spread and back off tries at discovery over the whole set

A call waits about 2 s in discovery's line before 503, and the line is worked on for callers that have left, so each try keeps the others out. At fault: PAUSE in net/discovery.py, the same for all and for ever.

Change: full jitter from a seeded source below a bound that grows fourfold with each failure, from 25 ms to 0.75 s for each limiter of the set (three: 0.3 to 2.25 s). A line that came, an empty one too, starts it anew.

Seen failing on the code before.

--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,8 +2,11 @@
 
 from __future__ import annotations
 
+from collections import Counter
+
 from tests.helpers import PLAN, request, sends, settings, started
 from thymeflow import interface as i
+from thymeflow.net.discovery import Pauses
 
 SMALL = i.Plan("plain", rate=2.0, burst=16.0)
 
@@ -28,3 +31,23 @@
     gateway.start = 0.0
     assert not sends(gateway.handle(0.0, request("a", 2.0, spread=40)))
     assert sends(gateway.handle(8.1, request("b", 2.0, spread=40)))
+
+
+def test_forty_that_are_refused_together_spread_their_tries_and_back_off() -> None:
+    tries: list[tuple[float, int]] = []
+    for number in range(40):
+        pauses, now = Pauses(40, number), 0.0
+        while (now := now + pauses.next()) < 60.0:   # all refused for a minute
+            tries.append((now, number))
+    slots = Counter(int(when / 0.1) for when, _ in tries)
+    assert max(slots.values()) <= 12, "the first tries come together"
+    assert sum(n for slot, n in slots.items() if slot >= 150) <= 45 * 4, "later ones do not back off"
+    assert len({number for when, number in tries if when > 25.0}) == 40, "one had given up"
+
+
+def test_a_watch_that_was_served_begins_anew_with_short_pauses() -> None:
+    pauses = Pauses(3, 1)
+    assert pauses.next() <= 0.3
+    assert max(pauses.next() for _ in range(40)) <= 2.25
+    pauses.served()
+    assert pauses.next() <= 0.3
--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -42,7 +42,7 @@
         self.on_list: Callable[[config.Listed], None] = lambda news: None   # who keeps the list beside us
         self.changed(given.known)
         self.discovery = Discovery(reactor, self.deadlines, given.discovery, given.known.membership.version,
-                                   self.changed)
+                                   self.changed, settings.gateways, given.seed)
         self.core.discovery = self.discovery
         self.counter: Counter | None = None
         if given.counter is not None:
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -1,12 +1,14 @@
 """The watch on discovery: an HTTP/1.1 answer that never ends, a JSON object on each line.
 
 What is known holds while discovery is silent. A broken watch starts again from the last version, so
-nothing is missed and nothing is asked for twice.
+nothing is missed and nothing is asked for twice. Discovery is one service for the whole set, and what
+breaks one watch breaks most of them: each asks again at a moment of its own, ever later until it is heard.
 """
 
 from __future__ import annotations
 
 import json
+import random
 from collections.abc import Callable
 from typing import Any
 
@@ -19,7 +21,9 @@
 
 SILENCE = 6.0               # s: empty lines come every 2 s, so this long without one is a break
 CONNECT = 1.0               # s: to connect
-PAUSE = 0.3                 # s: before the next try
+PAUSE = 0.3                 # s: most before the first try after a break, in a small set
+SPACING = (0.025, 0.75)     # s for each limiter of the set: over it their first tries are spread, and later ones
+GROWTH = 4.0                # times the bound with each failure: a crowded service also works on who has left
 MOST_HEAD = 8 * 1024        # bytes of an answer's head
 MOST_LINE = 4 * 2**20       # bytes of one message: a list of thousands
 
@@ -160,12 +164,31 @@
             self._ended(why)
 
 
+class Pauses:
+    """How long to wait before the next try: full jitter below a bound that grows with each failure."""
+
+    def __init__(self, gateways: int, seed: int) -> None:
+        self._rng = random.Random(seed)
+        self._first, self._last = max(PAUSE, SPACING[0] * gateways), SPACING[1] * gateways
+        self._most = self._first
+
+    def next(self) -> float:
+        """Seconds to wait now; the bound is higher next time."""
+        most, self._most = self._most, max(self._first, min(self._last, GROWTH * self._most))
+        return most * self._rng.random()
+
+    def served(self) -> None:
+        """A watch was served: the next break is a new one."""
+        self._most = self._first
+
+
 class Discovery:
     """The list as discovery tells it."""
 
     def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address, version: int,
-                 changed: Callable[[Listed], None]) -> None:
+                 changed: Callable[[Listed], None], gateways: int, seed: int) -> None:
         self._reactor, self._deadlines, self._address = reactor, deadlines, address
+        self._pauses = Pauses(gateways, seed)
         self._version, self._changed = version, changed
         self._watching: Reading | None = None
         self._turn = 0              # number of the present watch; what is said of earlier ones is old
@@ -214,10 +237,11 @@
             return
         self._watching, self._turn = None, turn + 1
         log.say("discovery", f"watch at {self._address} broke: {why}", address=self._address, version=self._version)
-        self._deadlines.at(clock.now() + PAUSE, self._watch, self._turn)
+        self._deadlines.at(clock.now() + self._pauses.next(), self._watch, self._turn)
 
     def _line(self, line: bytes) -> None:
         self._heard = clock.now()
+        self._pauses.served()
         if not line.strip():
             return
         try:
