Admit by lot as the whole set's demand has it, where an even slice is under one request

At fault: Store.part and room go by the own slice and by own demand over 1.5 s. Of a customer met once in 10 s one request looks like a demand of 1.3 units a second, so own demand swamps what others ask; and a slice of 0.5 units in debt refuses whoever comes next.

Change: own demand is remembered for longer in a larger set (1.5 s up to four limiters, 15 s at 40). Where an even slice is under a usual request, a request finds room by lot at rate over demand, with what the store is thought to hold let go over 3 s, leaning by the told price of being beyond the quota. What was asked here before counts as asked alike at every limiter of the set until the counter tells more.

--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -15,6 +15,9 @@
 
 FLOOR = 0.8            # of the declared units: least charge beyond quota under pressure (HIP-185)
 DEMAND_PERIOD = 1.5    # s: memory of demand; some requests of a busy customer, shorter than most spells
+FEW = 4.0              # limiters: in a larger set each sees less, and remembers its own demand for longer
+SPEND = 3.0            # s: what a store is thought to hold is let go over this, as others let go of it too
+LEAN = (2.6, 0.25, 0.7)   # demand is taken for more than it seems: most, price of half, least
 PRIOR = 0.1            # of the rate: demand the set is thought to have at least; new customers split evenly
 HEARD_FOR = 2.0        # s: carriers silent for longer are not believed and slices go back to even
 SPARE = 0.4            # of the burst beyond a usual request: level at which the fleet is kept when all ask
@@ -67,7 +70,7 @@
         fill = min(1.0, start + (now - born) * plan.rate / max(plan.burst, 1e-9))
         self.fleet, self.members, self.count, self.moved = plan.burst * fill, list[int](), 1, False
         self.level, self.guard, self.spread = 0.0, 0.0, -inf   # spread: when the whole set was last told
-        self.lends = 0.999 * (start or 1.0)   # of an even slice: one that starts empty fills first
+        self.period = DEMAND_PERIOD   # s: memory of own demand
 
     def join(self, first: int, spread: int, gateways: int, born: float) -> None:
         before, self.moved = self.count if self.members else 0, False
@@ -80,6 +83,7 @@
         self.level = min(self.level, self.level * less) if before else self.fleet / self.count
         # One of a large set is met seldom: what was told then is all that the next request can go by.
         self.memory = self.memory if self.gathers else min(HOLD[1], max(HOLD[0], SPEAK_EVERY * self.count))
+        self.period = DEMAND_PERIOD * max(1.0, self.count / FEW)
         # The ceiling's guard is safe alone: an even slice of rate and depth, empty at each start.
         guard = min(self.plan.ceiling_burst, self.plan.ceiling_rate * (self.at - born)) / self.count
         self.guard = min(self.guard, self.guard * less) if before else guard
@@ -93,23 +97,39 @@
 
     def refresh(self, now: float) -> None:   # fill for the time passed; a moving part mints nothing
         dt, plan, own, self.at = max(0.0, now - self.at), self.plan, self.own, now
-        fade = exp(-dt / DEMAND_PERIOD)
+        fade = exp(-dt / self.period)
         self.own, self.others = own * fade, self.others * exp(-dt / self.memory)
         # What others admit is not known yet where they exceed the quota: they share what is left as we do.
         self.spare = SPARE * max(self.lump, plan.burst - self.lump) + 1e-9
-        if self.gathers or self.others <= plan.rate:
+        if self.small():
+            self.fleet = max(min(self.fleet, 0.0), self.fleet + (plan.rate - self.others) * dt)
+        elif self.gathers or self.others <= plan.rate:
             self.fleet += (plan.rate - (0.0 if self.gathers else self.others)) * dt
         else:
             step = (self.lump + self.spare - self.fleet) * (1.0 - exp(-dt * self.others / self.spare))
             self.fleet += min(plan.rate * (0.5 + 0.5 * self.part(own)) * dt, step)
         self.fleet = min(plan.burst, self.fleet)
-        mean = own * (1.0 - fade) * DEMAND_PERIOD / dt if dt > 0 else own   # own demand over the time passed
+        mean = own * (1.0 - fade) * self.period / dt if dt > 0 else own   # own demand over the time passed
         self.level += plan.rate * self.part(mean) * dt
         if now - self.heard <= HEARD_FOR:
             self.level += (self.part(self.own) * self.fleet - self.level) * (1.0 - fade)
         self.level = min(self.level, plan.burst * self.part(self.own))
         self.guard = min(plan.ceiling_burst / self.count, self.guard + plan.ceiling_rate / self.count * dt)
 
+    def small(self) -> bool:   # whether an even slice is under a usual request and so decides nothing
+        return self.count > FEW and self.plan.burst < self.lump * self.count
+
+    def fair(self, units: float, chance: float) -> bool:   # small slices: by lot, as the set's demand has it
+        # What was asked here before is told at once, and the others are likely asked as much each.
+        before = max(0.0, self.own - units / self.period)
+        demand = max(before + self.others, before * self.count)
+        # Too much sent costs its price and too little the worth: the dearer, the more is held back.
+        most, half, least = LEAN
+        lean = max(least, most * self.plan.over_cost / (self.plan.over_cost + half))
+        heard = self.at - self.heard <= HEARD_FOR
+        spare = max(0.0, self.fleet - units) / SPEND if heard else 0.0
+        return (heard or units <= self.fleet) and chance * lean * demand <= self.plan.rate + spare
+
     def room(self, units: float, chance: float) -> bool:   # whether store, guard and open attempts admit it
         plan, part = self.plan, self.part(self.own)
         open_most = max(1, int(plan.open_limit * part)) if plan.open_limit else inf
@@ -120,9 +140,10 @@
         keep = KEEP * min(1.0, plan.over_cost) * over * plan.burst
         if plan.rate <= 0 or units + keep * part <= self.level:
             return True
-        if self.at - self.heard > HEARD_FOR:
-            # In a large set the even slice is under one request: as it stood at first it lends one, as debt.
-            return units > plan.burst * part and self.level >= self.lends * plan.burst * part
+        if self.small():
+            return self.fair(units, chance)
+        if self.at - self.heard > HEARD_FOR:   # an even slice that is full admits one; the rest is debt
+            return min(units, plan.burst * part * 0.999) <= self.level
         # Small slices: what the fleet holds is lent by lot, so that not all lend the same units at once.
         lot = chance * self.excess * self.others / plan.rate * self.spare
         owes = self.excess > 1.0 and self.level <= 0.0   # no word of the level: debt is all there is to go by
@@ -269,7 +290,7 @@
         most = cls.aim if cls.late_worth <= 0.0 and not cls.aim_stretch and not cls.stream else inf
         job = Work(event, cls, store, self.now + min(event.remaining, most))
         if not event.retry:   # a client's repeat is the same demand again, not more of it
-            store.own, store.asked = store.own + event.units / DEMAND_PERIOD, store.asked + event.units
+            store.own, store.asked = store.own + event.units / store.period, store.asked + event.units
         fits = store.room(event.units, self.rng.random())
         why = self.crowded(store, event.units) if fits else "quota"
         server = None if why else self.choose(job)
