Aim more of the fall rule's budget at a cold server as its share grows

Cause: while six in ten servers are new, warm ones are overloaded beside idle ones. Ruled out: ejections and zones (all were in use). At fault: COLD_LOAD, one share of the budget at every age, set for the first seconds, when the budget of a window is 17 requests and chance may double what is sent. At 70 requests it may not.

Change: the share of the budget rises with the server's own from 0.25 to 0.6; less than before at the start.

A test over 40 gateways holds the budget of every window; its bound on idle servers fails on the code before.

--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -2,10 +2,12 @@
 
 from __future__ import annotations
 
+import random
 from collections import Counter
 from dataclasses import replace
 
-from tests.helpers import request, sends, settings, started
+from tests.helpers import ended, fleet, request, sends, settings, started
+from thymeflow import Gateway
 from thymeflow import interface as i
 from thymeflow.net.discovery import Pauses
 from thymeflow.policy import Store
@@ -86,3 +88,36 @@
     assert max(pauses.next() for _ in range(40)) <= 2.25
     pauses.served()
     assert pauses.next() <= 0.3
+
+
+def test_forty_limiters_keep_the_cold_budget_while_six_in_ten_servers_are_replaced() -> None:
+    rng, rules, cores, work = random.Random(5), i.Rules(fall_multiple=2.5, fall_time=3.0, cold_share=0.17,
+                                                        cold_time=18.0), 3.0, 0.22
+    config = settings(gateways=40, rules=rules, plans=(replace(SMALL, rate=0.0),))
+    gateways = [Gateway(config, n) for n in range(40)]
+    sent: dict[int, list[float]] = {}
+    for gateway in gateways:
+        gateway.handle(1000.0, i.Membership(i.ListKind.CACHED, fleet(60)))
+    due = [(7.0 * n / 36, n) for n in range(36)]
+    for step in range(450 * 12):   # 450 requests a second, each answered at once
+        now = 1000.0 + step / 450.0
+        while due and 1000.0 + due[0][0] <= now:
+            old = due.pop(0)[1]
+            gone = i.Backend(old + 1, "ab"[old % 2], i.BackendState.GONE)
+            change = i.Membership(i.ListKind.DELTA, (gone, i.Backend(100 + old, "ab"[old % 2], started=now)))
+            for gateway in gateways:
+                gateway.handle(now, change)
+        gateway = rng.choice(gateways)
+        for send in sends(gateway.handle(now, request(f"r{step}"))):
+            gateway.handle(now, ended(f"r{step}", send, i.Status.OK))
+            if send.backend >= 100:
+                sent.setdefault(send.backend, []).append(now)
+    assert len(sent) == 36, "a new server was never tried"
+    for number, times in sent.items():
+        began = 1000.0 + 7.0 * (number - 100) / 36
+        for when in times:   # the window that begins with this one, at the least that the rules promise
+            share = 0.17 + 0.83 * (when - began) / 18.0
+            load = work * sum(when <= t < when + 3.0 for t in times)
+            assert load <= 2.5 * share * cores * 3.0, f"{number} may fall over"
+    late = sum(len([t for t in times if t > 1010.0]) for times in sent.values()) / 36
+    assert late >= 11.5, "servers that are half warm are left idle"   # of 15 if all were warm
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -47,7 +47,8 @@
 EJECT = (1.0, 8.0)     # s: first ejection, doubled with each further failure up to the second figure
 TRIAL = 0.5            # of the aim: how long a suspect backend is waited for
 EJECT_SHARE = 0.7      # of the fleet: most that may be ejected; beyond it nobody is (all are slow)
-COLD_LOAD = 0.35       # of the fall multiple: load on a cold backend relative to a warm one
+COLD_LOAD = (0.25, 0.6)   # of the fall multiple: load aimed at a cold backend, from none of its share to all:
+#                         a small budget holds few requests, of which chance may send half as many again
 RETRY = (0.1, 30.0)    # further attempts that may run twice: earned per first one; saved up by all gateways
 MARGIN = 0.02          # s: further attempts stop this long before a window or the client's time ends
 MEETINGS = 2           # gateways of a customer's set that gather what the set asks and charges
@@ -188,7 +189,8 @@
     def coldness(self, now: float, rules: api.Rules) -> float:   # share of a warm load; 0: warm
         age = max(0.0, now - self.entry.started)
         share = rules.cold_share + (1.0 - rules.cold_share) * age / max(1e-9, rules.cold_time)
-        return min(1.0, COLD_LOAD * rules.fall_multiple * share) if age < rules.cold_time else 0.0
+        aim = COLD_LOAD[0] + (COLD_LOAD[1] - COLD_LOAD[0]) * share
+        return min(1.0, aim * rules.fall_multiple * share) if age < rules.cold_time else 0.0
 
     def score(self, zone: str) -> float:   # expected wait: own line times pace
         load = self.out + 1.0 + (CROSS_ZONE if self.entry.zone != zone else 0.0)
