--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -3,11 +3,14 @@
 from __future__ import annotations
 
 import gc
-import signal
-import sys
-from typing import Any
 
-from thymeflow.net import config, log
+gc.disable()   # nothing that is imported is garbage, and looking for it was a twentieth of the start
+
+import signal  # noqa: E402
+import sys  # noqa: E402
+from typing import Any  # noqa: E402
+
+from thymeflow.net import config, log  # noqa: E402
 
 
 def main() -> int:
@@ -41,6 +44,7 @@
         loop.callFromThread(lifecycle.reread)
     gc.collect()
     gc.freeze()   # what stands by now lasts, and need not be looked through again and again
+    gc.enable()
     loop.run(installSignalHandlers=False)
     return 0
 
@@ -49,6 +53,7 @@
     """The console's way in: sub-commands where there are any, else the platform's start."""
     if len(sys.argv) > 1:
         from thymeflow.cli import run
+        gc.enable()
         return run()
     return main()
 
