Derive the memory of own demand from the size of the set instead of keeping it

Cause: read again, Store.period was set in join alone.

Change: the period is derived from the count.

Measured: the same decisions wherever a store has joined; 407 tests pass.

--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -71,7 +71,6 @@
         fill = min(1.0, start + (now - born) * plan.rate / max(plan.burst, 1e-9))
         self.fleet, self.members, self.count, self.moved = plan.burst * fill, list[int](), 1, False
         self.level, self.guard, self.spread = 0.0, 0.0, -inf   # spread: when the whole set was last told
-        self.period = DEMAND_PERIOD   # s: memory of own demand
 
     def join(self, first: int, spread: int, gateways: int, born: float) -> None:
         before, self.moved = self.count if self.members else 0, False
@@ -84,11 +83,14 @@
         self.level = min(self.level, self.level * less) if before else self.fleet / self.count
         # One of a large set is met seldom: what was told then is all that the next request can go by.
         self.memory = self.memory if self.gathers else min(HOLD[1], max(HOLD[0], SPEAK_EVERY * self.count))
-        self.period = DEMAND_PERIOD * max(1.0, self.count / FEW)
         # The ceiling's guard is safe alone: an even slice of rate and depth, empty at each start.
         guard = min(self.plan.ceiling_burst, self.plan.ceiling_rate * (self.at - born)) / self.count
         self.guard = min(self.guard, self.guard * less) if before else guard
 
+    @property
+    def period(self) -> float:   # s: memory of own demand
+        return DEMAND_PERIOD * max(1.0, self.count / FEW)
+
     def part(self, own: float) -> float:   # of the quota by demand; the even slice while nothing is heard
         prior = PRIOR * self.plan.rate + 1e-9
         heard = self.at - self.heard <= HEARD_FOR
