Take operators' calls, and send user agents away and back

Ruled out: a slow drain (nothing was ever told). At fault: Lifecycle knew no way back (lifecycle.py, terminate) and Front.close ended for good.

Change: net/phases.py (phases, one table of calls), net/management.py (line protocol, 16 places, the longest silent makes room), Lifecycle.call, Front.empty and fill, which a drain now shares; mgmt or BALANCER_MGMT in the configuration; the daemon's control socket has the same two words.

--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -112,7 +112,7 @@
 
     def __init__(self, folder: Path, servers: int = 1, known: bool = True,
                  memory: int = 192, sockets: int = 1024, serve: tuple[str, ...] | None = None,
-                 environment: dict[str, str] | None = None, **settings: Any) -> None:
+                 environment: dict[str, str] | None = None, managed: bool = False, **settings: Any) -> None:
         self.servers = [Listener() for _ in range(servers)]
         self.discovery, self.counter = Listener(), Listener()
         listed = [self.entry(n) for n in range(servers)] if known else []
@@ -121,12 +121,15 @@
                   "limits": {"cores": 1.0, "memory_mb": memory, "sockets": sockets},
                   "known": {"generation": 41, "reset": True, "instances": listed},
                   "settings": {**SETTINGS, **settings}}
+        if managed:
+            config["mgmt"] = "127.0.0.1:0"
         self.config, self.path = config, folder / "config.json"
         path = self.path
         path.write_text(json.dumps(config))
         # A Unix socket's path is short, and pytest's folders are not.
         self.state, self.environment = Path(tempfile.mkdtemp(prefix="tf")), environment or {}
         self.process = self.start(serve)
+        self.manage = int(self.log("calls:").rsplit(":", 1)[1]) if managed else 0
         self.port = int(self.log("listening:").rsplit(":", 1)[1])
 
     def start(self, serve: tuple[str, ...] | None = None) -> subprocess.Popen[str]:
@@ -166,6 +169,26 @@
     def connect(self) -> Peer:
         return Peer(socket.create_connection(("127.0.0.1", self.port), PATIENCE))
 
+    def operator(self) -> Peer:
+        return Peer(socket.create_connection(("127.0.0.1", self.manage), PATIENCE))
+
+    def call(self, text: bytes) -> bytes:
+        """One call by an operator, and the line that answers it."""
+        operator = self.operator()
+        operator.send(text)
+        answer = operator.line()
+        operator.close()
+        return answer
+
+    def served(self, agent: Peer, number: int, server: Peer | None = None) -> Peer:
+        """Have one request of the agent served, over a warm connection if one is given; the connection."""
+        agent.send(request(number))
+        server = server or self.servers[0].accept()
+        assert server.words()[2] == b"%016x" % number
+        server.send(b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n")
+        assert agent.bulk() == b"value"
+        return server
+
     def watch(self, at: Listener | None = None) -> tuple[Peer, bytes]:
         """The watch as discovery sees it, already answered with a head, and the line it asked with."""
         peer = (at or self.discovery).accept()
--- /dev/null
+++ b/tests/test_management.py
@@ -0,0 +1,108 @@
+"""Operators' calls, and what each does in each phase: on sockets, and pair by pair."""
+
+from __future__ import annotations
+
+import itertools
+import json
+import os
+import subprocess
+import sys
+import time
+from collections.abc import Iterator
+from contextlib import closing
+from pathlib import Path
+
+import pytest
+
+from tests.limiter import PATIENCE, ROOT, Limiter, command, request
+from tests.test_limiter import GOOD
+from thymeflow.net.management import MOST_LINE, PLACES
+from thymeflow.net.phases import CALLS, Phase, Word, called
+
+
+@pytest.fixture
+def limiter(tmp_path: Path) -> Iterator[Limiter]:
+    with Limiter(tmp_path, managed=True) as made:
+        yield made
+
+
+def answers(limiter: Limiter) -> tuple[bytes, bytes]:
+    """What `PING` and `readyz` say: the first byte of each."""
+    with closing(limiter.connect()) as agent:
+        agent.send(command(b"PING"))
+        return agent.line()[:1], limiter.call(b"readyz\n")[:1]
+
+
+@pytest.mark.parametrize(("phase", "word"), list(itertools.product(Phase, Word)))
+def test_every_call_has_an_outcome_in_every_phase(phase: Phase, word: Word) -> None:
+    after, yes, why = called(phase, word, phase is Phase.SERVING)
+    assert why and (yes or after is phase), "a no changes nothing"
+    assert after is phase or {phase, after} == {Phase.SERVING, Phase.EVACUATED}
+    assert yes == ((phase, word) in CALLS) or word is Word.READY
+    assert called(after, word, yes)[:2] == (after, yes), "twice the same call is once"
+
+
+@pytest.mark.parametrize("text", [b"\n", b"reload\n", b"\xff\x00\n", b"readyz\nreadyz\n", b"x" * (MOST_LINE + 1),
+                                  b"readyz" + b" " * MOST_LINE + b"\n", b"READYZ\n", b"*1\r\n$4\r\nPING\r\n"])
+def test_what_is_no_call_is_told_so_in_words(limiter: Limiter, text: bytes) -> None:
+    found = limiter.call(text)
+    assert found.startswith(b"400 ") and len(found) > 10
+    assert limiter.call(b"readyz\r\n").startswith(b"200 ")
+
+
+def test_callers_that_say_nothing_stand_in_nobodys_way(limiter: Limiter) -> None:
+    silent = [limiter.operator() for _ in range(PLACES + 4)]
+    begun = time.monotonic()
+    assert limiter.call(b"readyz\n").startswith(b"200 ")
+    assert time.monotonic() - begun < 1.0
+    assert sum(peer.silent(0.0) for peer in silent) <= PLACES   # the oldest made room
+    silent[-1].send(b"readyz\n")
+    assert silent[-1].line().startswith(b"200 ")                # a late one is answered all the same
+
+
+def test_evacuation_sends_user_agents_away_and_activate_takes_them_back(limiter: Limiter) -> None:
+    busy, idle, begun = limiter.connect(), limiter.connect(), time.monotonic()
+    busy.send(request(1))
+    held = limiter.servers[0].accept()
+    held.words()
+    warm = limiter.served(idle, 2)
+    assert answers(limiter) == (b"+", b"2")
+    for _ in range(2):
+        assert limiter.call(b"evacuate\n").startswith(b"200 ")
+        assert answers(limiter) == (b"-", b"4")
+    limiter.served(idle, 3, warm)               # the front sends on for a moment
+    assert idle.ended()
+    held.send(GOOD)
+    assert busy.bulk() == b"value" and busy.ended()
+    late = limiter.connect()                    # the listener stays; what comes all the same is answered
+    limiter.served(late, 4, held)    # over the warmest connection
+    assert late.ended() and time.monotonic() - begun < 3.0
+    assert limiter.call(b"activate\n").startswith(b"200 ")
+    assert answers(limiter) == (b"+", b"2")
+    limiter.served(back := limiter.connect(), 5, held)
+    limiter.served(back, 6, held)               # and stays connected
+
+
+def test_an_evacuated_limiter_that_is_told_to_end_drains_and_never_says_yes(limiter: Limiter) -> None:
+    busy = limiter.connect()
+    busy.send(request(1))
+    held = limiter.servers[0].accept()
+    held.words()
+    assert limiter.call(b"evacuate\n").startswith(b"200 ")
+    limiter.terminate()
+    limiter.log("phase: draining")
+    assert answers(limiter) == (b"-", b"4")
+    for word in (b"evacuate\n", b"activate\n"):
+        assert limiter.call(word).startswith(b"400 ")
+    held.send(GOOD)
+    assert busy.bulk() == b"value"
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+@pytest.mark.parametrize(("mgmt", "code"), [("here", 2), ("127.0.0.1:x", 2), (7, 2), ("taken", 3)])
+def test_a_bad_place_for_calls_is_one_line_and_a_failure(limiter: Limiter, mgmt: object, code: int) -> None:
+    where = f"127.0.0.1:{limiter.manage}" if mgmt == "taken" else mgmt
+    limiter.path.write_text(json.dumps({**limiter.config, "mgmt": where}))
+    done = subprocess.run([sys.executable, "-m", "thymeflow"], cwd=ROOT, text=True, capture_output=True,
+                          timeout=PATIENCE, env={**os.environ, "BALANCER_CONFIG": str(limiter.path)})
+    assert (done.returncode, done.stderr.count("\n")) == (code, 1)
--- a/thymeflow/daemon/answers.py
+++ b/thymeflow/daemon/answers.py
@@ -9,8 +9,8 @@
 from thymeflow import interface as api
 from thymeflow.daemon.control import Caller, Message
 from thymeflow.daemon.handover import Word
-from thymeflow.net import clock, log
-from thymeflow.net.lifecycle import Phase
+from thymeflow.net import clock, log, phases
+from thymeflow.net.phases import Phase
 from thymeflow.observe.structured import LEVELS
 
 if TYPE_CHECKING:
@@ -28,7 +28,8 @@
         self._watchers: list[Caller] = []
         self._words: dict[str, Callable[[Caller, Message], None]] = {
             "status": self._status, "watch": self._watch, "drain": self._drain, "reload": self._reload,
-            "level": self._level, "snapshot": self._snapshot, "socket": self._socket,
+            "evacuate": self._call, "activate": self._call, "level": self._level,
+            "snapshot": self._snapshot, "socket": self._socket,
             "take": lambda caller, message: service.giving.asked(caller, message)}
 
     def served(self, caller: Caller, message: Message) -> None:
@@ -91,6 +92,10 @@
         caller.say({"ok": True, "open": self._service.limiter.core.open()})
         self._service.end(linger)
 
+    def _call(self, caller: Caller, message: Message) -> None:
+        yes, why = self._service.limiter.lifecycle.call(phases.Word(message["do"]))
+        caller.say({"ok": yes, "why": why})
+
     def _reload(self, caller: Caller, _: Message) -> None:
         good = self._service.reload()
         caller.say({"ok": good, "why": self._service.reloaded})
--- a/thymeflow/daemon/giving.py
+++ b/thymeflow/daemon/giving.py
@@ -13,7 +13,7 @@
 from thymeflow.daemon.control import Caller, Message
 from thymeflow.daemon.handover import Act, Giver, Word
 from thymeflow.net import clock, log
-from thymeflow.net.lifecycle import Phase
+from thymeflow.net.phases import Phase
 from thymeflow.state import meaning, record
 
 if TYPE_CHECKING:
--- a/thymeflow/daemon/service.py
+++ b/thymeflow/daemon/service.py
@@ -30,7 +30,7 @@
 from thymeflow.daemon.taking import Taking
 from thymeflow.net import clock, config, log
 from thymeflow.net.assembly import Limiter
-from thymeflow.net.lifecycle import Phase
+from thymeflow.net.phases import Phase
 from thymeflow.observe.structured import Logbook
 from thymeflow.policy import START_LEVEL
 from thymeflow.settings import Settings, SettingsError
--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -7,12 +7,13 @@
 
 from thymeflow import Gateway
 from thymeflow import interface as api
-from thymeflow.net import clock, config
+from thymeflow.net import clock, config, log
 from thymeflow.net.core import Core
 from thymeflow.net.counter import Counter
 from thymeflow.net.discovery import Discovery
 from thymeflow.net.front import Front
 from thymeflow.net.lifecycle import LINGER, Lifecycle
+from thymeflow.net.management import PLACES, Management
 from thymeflow.net.reload import Reload
 from thymeflow.net.upstream import Upstream
 
@@ -63,10 +64,19 @@
         self.core.tell(api.Resized(gateways))
 
     def start(self) -> None:
-        """Connect to counter and discovery, and begin to listen."""
+        """Listen for operators, connect to counter and discovery, and begin to listen for user agents."""
+        self.manage()
         self.connect()
         self.listen()
 
+    def manage(self) -> None:
+        """Listen for operators, where the configuration says so; CannotListenError where the place is taken."""
+        where = self.given.management
+        if where is not None:
+            port = self.reactor.listenTCP(where.port, Management(self.deadlines, self.lifecycle.call),
+                                          backlog=PLACES, interface=where.host)
+            log.note("calls", f"operators may call at {where.host}:{port.getHost().port}")
+
     def connect(self) -> None:
         """Connect to counter and discovery."""
         if self.counter is not None:
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -62,6 +62,7 @@
     memory: int
     known: Listed
     settings: api.Settings
+    management: Address | None = None   # where operators call
 
 
 def address(text: Any, least: int = 1) -> Address:
@@ -123,6 +124,7 @@
         settings = settings_from(source["settings"])
         if settings.information.counter and not source.get("counter"):
             raise ValueError("counter is missing, though the settings allow calls")
+        management = source.get("mgmt") or environment.get("BALANCER_MGMT")
         empty = {"generation": 0, "reset": True, "instances": []}
         return Config(
             name=str(source.get("name") or environment.get("BALANCER_NAME", "limiter")),
@@ -132,7 +134,7 @@
             seed=int(str(source.get("seed", "0")), 16), sockets=sockets,
             memory=int(float(limits.get("memory_mb", 192)) * 2**20),
             known=listed(source.get("known") or empty, cached=True),
-            settings=settings)
+            settings=settings, management=address(management, 0) if management else None)
     except KeyError as fault:
         raise ConfigError(f"{path}: {fault} is missing") from None
     except (ValueError, TypeError, AttributeError, OverflowError) as fault:
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -127,7 +127,7 @@
         if fault and not self._last:
             self._garbled(fault)
         self._flush()
-        if self._front.closing:
+        if self._front.emptying and self._asked:
             self.finish()
 
     def _garbled(self, fault: str) -> None:
@@ -163,6 +163,8 @@
     def look(self, now: float, kept: float) -> None:
         """Guards the table against those that say nothing, or never end what they say."""
         idle = self.idle(now)
+        if self._front.emptying and idle > FRESH:
+            kept = 0.0              # who asks nothing at once is sent away, and who says PING often stays
         if self._ended or not self.flushed:
             if idle > (LINGER if self._ended else KEPT):
                 self.transport.abortConnection()
@@ -171,7 +173,7 @@
         elif self._parser.held():
             if idle > SILENT:
                 self._garbled("a command was begun and not ended")
-        elif idle > (kept if self._asked else SILENT) and not unread(self.transport):
+        elif idle > (kept if self._asked else min(kept, SILENT)) and not unread(self.transport):
             self.finish()
 
     def drop(self) -> None:
@@ -290,7 +292,8 @@
         self._most = most
         self.agents: Table[UserAgent] = Table(most)
         self.going = 0
-        self.closing = False
+        self.emptying = False       # a connection ends with its last answer, or as it falls idle
+        self.closing = False        # and no new one is taken
         self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered
         self.gone: Any = lambda: None       # likewise: a user agent has left
         self._sweep(0)
@@ -327,8 +330,17 @@
         self._deadlines.at(now + SWEEP, self._sweep)
 
     def close(self) -> None:
-        """Take nothing more: idle connections end now, the others with their last answer."""
+        """Take nothing more, and let go of all there are."""
         self.closing = True
+        self.empty()
+
+    def fill(self) -> None:
+        """Back at work: what connects or asks from now on stays."""
+        self.emptying = False
+
+    def empty(self) -> None:
+        """Let go of user agents: idle connections end now, the others with their last answer."""
+        self.emptying = True
         now = clock.now()
         for agent in self.agents.all():
             # Who has just connected has a request on its way: a close that crosses it would lose it.
@@ -339,7 +351,7 @@
 
     def _finish_later(self, handle: int) -> None:
         agent = self.agents.get(handle)
-        if agent is not None:
+        if agent is not None and self.emptying:
             self._finish(agent)
 
     @staticmethod
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -3,28 +3,20 @@
 from __future__ import annotations
 
 from collections.abc import Callable
-from enum import Enum
 from typing import Any
 
-from thymeflow.net import clock, log
+from thymeflow.net import clock, log, phases
 from thymeflow.net.core import Core
 from thymeflow.net.front import Front
+from thymeflow.net.phases import Phase, Word
 
 LINGER = 0.7    # s after SIGTERM: user agents still come and are served, as they have not been told yet
+SENT_ON = 0.5   # s after `evacuate`: the front asks every 0.1 s, and sends on for 0.2 s more
 EXTRA = 1.0     # s past the longest deadline: a user agent that never takes its answer is left behind
 
 
-class Phase(Enum):
-    """Where the program is in its life."""
-
-    STARTING = "starting"    # no list yet, or not listening
-    SERVING = "serving"
-    DRAINING = "draining"    # told to end; serves for a moment, then finishes what it took
-    STOPPED = "stopped"
-
-
 class Lifecycle:
-    """Goes from phase to phase, never back."""
+    """Goes from phase to phase; only from evacuated there is a way back."""
 
     def __init__(self, deadlines: clock.Deadlines, core: Core, front: Front, longest: float,
                  stop: Callable[[], None], linger: float = LINGER) -> None:
@@ -37,9 +29,33 @@
         self.reload: Callable[[], object] = lambda: None   # set once there is something to reload
         self.before_end: Callable[[], float] = lambda: 0.0   # last words, and the seconds that they want
         self.entered: Callable[[Phase], None] = lambda phase: None   # who tells others of the phase
-        front.able = lambda: self.phase in (Phase.SERVING, Phase.DRAINING)
+        self._lingers = False       # told to end, and the front may not have noticed yet
+        self._evacuated = 0         # how often; what was set going by an earlier one is old
+        front.able = self.takes
         front.gone = self._look
 
+    def takes(self) -> bool:
+        """Whether user agents are taken now: what `PING` and `readyz` both answer."""
+        return self.phase is Phase.SERVING or (self.phase is Phase.DRAINING and self._lingers)
+
+    def call(self, word: Word) -> tuple[bool, str]:
+        """An operator's call: whether the answer is yes, and the reason in words."""
+        phase, yes, why = phases.called(self.phase, word, self.takes())
+        if word is not Word.READY:
+            log.note("call", f"{word.value}: {'yes' if yes else 'no'}, {why}")
+        if phase is not self.phase:
+            self._enter(phase)
+            self._evacuated += 1
+            if phase is Phase.EVACUATED:
+                self._deadlines.at(clock.now() + SENT_ON, self._empty, self._evacuated)
+            else:
+                self._front.fill()
+        return yes, why
+
+    def _empty(self, evacuated: int) -> None:
+        if self.phase is Phase.EVACUATED and evacuated == self._evacuated:
+            self._front.empty()
+
     def _enter(self, phase: Phase) -> None:
         self.phase = phase
         log.note("phase", phase.value, phase=phase.value)
@@ -63,7 +79,8 @@
 
     def terminate(self, linger: float | None = None) -> None:
         """SIGTERM or SIGINT: end in good order; `linger` where nobody needs the time to notice."""
-        if self.phase in (Phase.STARTING, Phase.SERVING):
+        if self.phase in (Phase.STARTING, Phase.SERVING, Phase.EVACUATED):
+            self._lingers = self.phase is not Phase.EVACUATED
             self._enter(Phase.DRAINING)
             stays = clock.now() + (self._linger if linger is None else linger)
             self._deadlines.at(stays, self._close)
@@ -77,7 +94,7 @@
     def _close(self, _: int) -> None:
         if self.port is not None:
             self.port.stopListening()
-        self._closed = True
+        self._closed, self._lingers = True, False
         self._front.close()
         self._look()
 
--- a/thymeflow/net/reload.py
+++ b/thymeflow/net/reload.py
@@ -44,7 +44,7 @@
             log.note("reload", f"the set is of {size} limiters", gateways=size)
             self._resized(size)
             before = replace(before, settings=given.settings)
-        fixed = ("name", "listen", "sockets", "memory", "settings")
+        fixed = ("name", "listen", "management", "sockets", "memory", "settings")
         changed = [name for name in fixed if getattr(given, name) != getattr(before, name)]
         if changed:
             log.note("reload", f"{', '.join(changed)} differ and hold from the next start")
