Take changed settings at SIGHUP, whole or not at all

Seen: classes, effects and attempts of a new file held 'from the next start' only (reload.py, fixed), a file without classes or with a deadline of 0 was taken as good (config.from_source takes start values for absent keys; interface._not_negative let 0, True and, for attempts, text and NaN through or raised without a name). Ruled out: reading the file too late, SIGHUP is served in the same turn.

Change: every key of the file in force has to be there; deadline and attempts are finite numbers above 0, and the line says key and value. One event, Resettled, replaces Resized in the module; jobs and transactions hold the attempts, jobs the class, that they were taken under; stores keep their level and fill at the new figures from then on; front, pools, discovery's pauses and the drain's longest deadline follow.

--- a/tests/test_drill.py
+++ b/tests/test_drill.py
@@ -70,7 +70,7 @@
 def test_senseless_settings_are_the_wires_fault_action() -> None:
     bad = SETTINGS.replace('"refill": 10.0', '"refill": -1.0')
     _, out = play(f"clock wall=5\nat i=4\nborn salt=7 settings={bad}\nend\n")
-    assert out.startswith("for i=4\nexception text=ValueError: Plan.rate")
+    assert out.startswith("for i=4\nexception text=ValueError: settings.tiers-of-service[0].refill: -1.0")
 
 
 def test_same_events_same_actions_under_any_hash_seed() -> None:
--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -146,11 +146,11 @@
     spend(one, 10.0, 0.5, 4.0)
     (store,) = one.stores.values()
     store.level = 6.0
-    one.handle(10.6, i.Resized(6))
+    one.handle(10.6, i.Resettled(settings(gateways=6)))
     one.handle(10.6, request("x", spread=6))
     assert store.count == 6 and store.level <= 3.0 + PLAN.rate * 0.2
     before = store.level
-    one.handle(10.6, i.Resized(2))
+    one.handle(10.6, i.Resettled(settings(gateways=2)))
     one.handle(10.6, request("y", spread=2))
     assert store.count == 2 and store.level <= before
     assert one.settings.gateways == 2
--- a/thymeflow/daemon/giving.py
+++ b/thymeflow/daemon/giving.py
@@ -67,7 +67,7 @@
     def asked(self, caller: Caller, message: Message) -> None:
         """Somebody wants to take over."""
         service = self._service
-        phase, site = service.limiter.lifecycle.phase, record.site_of(service.given.settings)
+        phase, site = service.limiter.lifecycle.phase, record.site_of(service.limiter.gateway.settings)
         if phase is not Phase.SERVING:
             caller.say({"ok": False, "why": f"it is {phase.value}"})
         elif message.get("site") != site:
--- a/thymeflow/drill.py
+++ b/thymeflow/drill.py
@@ -25,37 +25,41 @@
 
 
 def settings_from(info: dict[str, Any]) -> i.Settings:
-    """Translate the settings object; absent keys take the interface's defaults."""
-    def part(cls: type[Any], source: dict[str, Any], names: dict[str, str], **more: Any) -> Any:
-        return cls(**{ours: source[theirs] for ours, theirs in names.items() if theirs in source}, **more)
+    """Translate the settings object; absent keys take the interface's defaults. ValueError names key and value."""
+    def part(cls: type[Any], where: str, source: dict[str, Any], names: dict[str, str], **more: Any) -> Any:
+        try:
+            return cls(**{ours: source[theirs] for ours, theirs in names.items() if theirs in source}, **more)
+        except i.Senseless as fault:
+            raise ValueError(f"settings.{where}.{names.get(fault.name, fault.name)}: {fault.value!r} "
+                             "makes no sense") from None
 
     classes = tuple(
-        part(i.RequestClass, c, {"name": "name", "aim": "on-time", "deadline": "deadline", "worth": "credit",
-                                 "late_worth": "late-share", "window": "window", "stream": "stream",
-                                 "aim_stretch": "aim-stretch"},
+        part(i.RequestClass, f"classes[{n}]", c,
+             {"name": "name", "aim": "on-time", "deadline": "deadline", "worth": "credit", "late_worth": "late-share",
+              "window": "window", "stream": "stream", "aim_stretch": "aim-stretch"},
              effect=EFFECTS.get(c.get("effect", ""), i.Effect.UNSAFE),
              scope=SCOPES.get(c.get("key-scope", "all"), i.Scope.CELL))
-        for c in info.get("classes", []))
+        for n, c in enumerate(info.get("classes", [])))
     plans = tuple(
-        part(i.Plan, p, {"name": "name", "rate": "refill", "burst": "most-at-once", "open_limit": "parallel",
-                         "price": "pays", "over_worth": "over-worth", "over_cost": "over-cost",
-                         "ceiling_rate": "never-over-rate", "ceiling_burst": "never-over-depth",
-                         "ceiling_slack": "cap-slack"})
-        for p in info.get("tiers-of-service", []))
-    rules = part(i.Rules, info.get("rules", {}), {
+        part(i.Plan, f"tiers-of-service[{n}]", p,
+             {"name": "name", "rate": "refill", "burst": "most-at-once", "open_limit": "parallel", "price": "pays",
+              "over_worth": "over-worth", "over_cost": "over-cost", "ceiling_rate": "never-over-rate",
+              "ceiling_burst": "never-over-depth", "ceiling_slack": "cap-slack"})
+        for n, p in enumerate(info.get("tiers-of-service", [])))
+    rules = part(i.Rules, "rules", info.get("rules", {}), {
         "drain_grace": "drain-grace", "fall_multiple": "fall-multiple", "fall_time": "fall",
         "cold_share": "cold-share", "cold_time": "cold", "answer_slack": "grace-to-answer",
         "ask_within": "must-ask-in"})
-    limits = part(i.Limits, info.get("caps", {}), {
+    limits = part(i.Limits, "caps", info.get("caps", {}), {
         "cancel": "cancel", "probes": "probes", "peers": "may-tell", "second_copies": "second-copies",
         "retry_after": "retry-after", "max_retry_after": "max-retry-after", "max_attempts": "max-attempts",
         "max_open": "open-cap", "connect_timeout": "dial-timeout", "connection_idle": "conn-idle",
         "streams_per_connection": "multiplex"})
     family = info.get("family-info", {})
-    prices = part(i.Prices, {**info.get("costs", {}), "counter-price": family.get("counter-price", 0.0)}, {
+    prices = part(i.Prices, "costs", {**info.get("costs", {}), "counter-price": family.get("counter-price", 0.0)}, {
         "cross_zone": "cross-zone", "waste": "waste", "late_fail": "late-fail", "peer": "peer",
         "probe": "probe", "counter": "counter-price"})
-    information = part(i.Information, family, {
+    information = part(i.Information, "family-info", family, {
         "counter": "may-count", "counter_timeout": "counter-timeout", "meter_period": "meter",
         "max_units": "most-units", "peer_intake": "peer-intake", "settles": "trued-up"})
     report = info.get("report", {})
--- a/thymeflow/interface.py
+++ b/thymeflow/interface.py
@@ -73,16 +73,34 @@
     MOOT = 8
 
 
-def _check(ok: bool, name: str, value: object) -> None:
+class Senseless(ValueError):
+    """A setting makes no sense; `name` is the field's."""
+
+    def __init__(self, owner: str, name: str, value: object) -> None:
+        super().__init__(f"{owner}.{name}: {value!r} makes no sense")
+        self.name, self.value = name, value
+
+
+def _check(ok: bool, owner: str, name: str, value: object) -> None:
     if not ok:
-        raise ValueError(f"{name}: {value!r} makes no sense")
+        raise Senseless(owner, name, value)
+
+
+def _figure(value: object) -> bool:
+    # True is a number to Python, and no figure.
+    return isinstance(value, (int, float)) and not isinstance(value, bool) and isfinite(value)
 
 
 def _not_negative(owner: object, *names: str) -> None:
     for name in names:
         value = getattr(owner, name)
-        good = isinstance(value, (int, float)) and isfinite(value) and value >= 0
-        _check(good, f"{type(owner).__name__}.{name}", value)
+        _check(_figure(value) and value >= 0, type(owner).__name__, name, value)
+
+
+def _positive(owner: object, *names: str) -> None:
+    for name in names:
+        value = getattr(owner, name)
+        _check(_figure(value) and value > 0, type(owner).__name__, name, value)
 
 
 @dataclass(frozen=True, slots=True)
@@ -101,7 +119,8 @@
     aim_stretch: float = 0.0
 
     def __post_init__(self) -> None:
-        _not_negative(self, "aim", "deadline", "worth", "late_worth", "window", "aim_stretch")
+        _positive(self, "deadline")
+        _not_negative(self, "aim", "worth", "late_worth", "window", "aim_stretch")
 
 
 @dataclass(frozen=True, slots=True)
@@ -160,7 +179,8 @@
     def __post_init__(self) -> None:
         _not_negative(self, "max_retry_after", "max_open", "connect_timeout", "connection_idle",
                       "streams_per_connection")
-        _check(self.max_attempts >= 1, "Limits.max_attempts", self.max_attempts)
+        _positive(self, "max_attempts")
+        _check(self.max_attempts >= 1, "Limits", "max_attempts", self.max_attempts)
 
 
 @dataclass(frozen=True, slots=True)
@@ -213,11 +233,13 @@
     tick: float = 0.001
 
     def __post_init__(self) -> None:
-        _check(self.gateways >= 1, "Settings.gateways", self.gateways)
-        _check(0 <= self.index < self.gateways, "Settings.index", self.index)
-        _check(len(self.zones) > 0, "Settings.zones", self.zones)
-        _check(len({c.name for c in self.classes}) == len(self.classes), "Settings.classes", "repeated name")
-        _check(len({p.name for p in self.plans}) == len(self.plans), "Settings.plans", "repeated name")
+        _positive(self, "gateways")
+        _not_negative(self, "index")
+        _check(self.gateways >= 1, "Settings", "gateways", self.gateways)
+        _check(0 <= self.index < self.gateways, "Settings", "index", self.index)
+        _check(len(self.zones) > 0, "Settings", "zones", self.zones)
+        _check(len({c.name for c in self.classes}) == len(self.classes), "Settings", "classes", "repeated name")
+        _check(len({p.name for p in self.plans}) == len(self.plans), "Settings", "plans", "repeated name")
         _not_negative(self, "tick")
 
 
@@ -339,14 +361,14 @@
 
 
 @dataclass(frozen=True, slots=True)
-class Resized:
-    """The set of gateways is of another size from now on; this one keeps its number."""
+class Resettled:
+    """Other settings hold from now on; requests that are open keep those they were taken under."""
 
-    gateways: int
+    settings: Settings
 
 
 Event = Union[Membership, Request, ResponseStarted, AttemptEnded, ClientLeft, TimerFired, ProbeEnded,
-              PeerMessage, CounterReply, Resized]
+              PeerMessage, CounterReply, Resettled]
 
 
 @dataclass(frozen=True, slots=True)
--- a/thymeflow/job.py
+++ b/thymeflow/job.py
@@ -21,6 +21,7 @@
     cls: api.RequestClass
     store: StoreT
     end: float
+    most: int = 1                # attempts, as the settings had it when it was taken
     attempts: list[tuple[ServerT, float]] = field(default_factory=list)   # backend and send time of each
     ended: dict[int, api.Status] = field(default_factory=dict)            # how those ended that have
     done: bool = False
--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -8,6 +8,7 @@
 from thymeflow import Gateway
 from thymeflow import interface as api
 from thymeflow.net import clock, config, log
+from thymeflow.net.call import Reader
 from thymeflow.net.core import Core
 from thymeflow.net.counter import Counter
 from thymeflow.net.discovery import Discovery
@@ -23,6 +24,11 @@
 INPUT_SHARE = 0.05    # of the memory limit: for commands that have begun and are not whole
 
 
+def longest_of(settings: api.Settings) -> float:
+    """The longest deadline of any class, in seconds."""
+    return max((c.deadline for c in settings.classes), default=0.0)
+
+
 class Limiter:
     """One limiter: made, started, then run by the reactor until its lifecycle ends."""
 
@@ -38,8 +44,7 @@
         self.upstream = self.core.upstream = Upstream(reactor, self.deadlines, limits, room - agents)
         self.front = Front(self.core, settings, self.deadlines, agents, int(given.memory * ANSWER_SHARE),
                            int(given.memory * INPUT_SHARE))
-        longest = max((c.deadline for c in settings.classes), default=0.0)
-        self.lifecycle = Lifecycle(self.deadlines, self.core, self.front, longest, reactor.stop, linger)
+        self.lifecycle = Lifecycle(self.deadlines, self.core, self.front, longest_of(settings), reactor.stop, linger)
         self.on_list: Callable[[config.Listed], None] = lambda news: None   # who keeps the list beside us
         self.changed(given.known)
         self.discovery = Discovery(reactor, self.deadlines, given.discovery, given.known.membership.version,
@@ -48,7 +53,7 @@
         self.counter: Counter | None = None
         if given.counter is not None:
             self.core.counter = self.counter = Counter(reactor, self.deadlines, given.counter)
-        self.reload = Reload(given, self.discovery, self.counter, self.resized, load)
+        self.reload = Reload(given, self.discovery, self.counter, self.resettled, load)
         self.lifecycle.reload = self.reload.now
 
     def changed(self, news: config.Listed) -> None:
@@ -58,10 +63,13 @@
         if news.addresses:
             self.lifecycle.listed()
 
-    def resized(self, gateways: int) -> None:
-        """The set of limiters is of another size from now on."""
-        self.front.reader.resized(gateways)
-        self.core.tell(api.Resized(gateways))
+    def resettled(self, settings: api.Settings) -> None:
+        """Other settings hold from now on; what is open keeps the rules that it was taken under."""
+        self.front.reader = Reader(settings)
+        self.core.resettled(settings)
+        self.upstream.limits = settings.limits
+        self.discovery.pauses.resized(settings.gateways)
+        self.lifecycle.longest = max(self.lifecycle.longest, longest_of(settings))
 
     def start(self) -> None:
         """Listen for operators, connect to counter and discovery, and begin to listen for user agents."""
--- a/thymeflow/net/call.py
+++ b/thymeflow/net/call.py
@@ -50,10 +50,6 @@
         self._plans = {p.name.encode(): p.name for p in settings.plans}
         self._gateways, self._most_units = settings.gateways, settings.information.max_units
 
-    def resized(self, gateways: int) -> None:
-        """The set of limiters is of another size from now on."""
-        self._gateways = gateways
-
     def read(self, words: list[bytes]) -> tuple[Call, api.Request]:
         """The call and what the module is told of it."""
         verb = words[0].upper()
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -63,6 +63,8 @@
     known: Listed
     settings: api.Settings
     management: Address | None = None   # where operators call
+    keys: frozenset[str] = frozenset()  # that the file has, see `keys_of`
+    path: str = ""                      # of the file
 
 
 def address(text: Any, least: int = 1) -> Address:
@@ -100,6 +102,28 @@
     return Listed(api.Membership(kind, tuple(backends), int(message["generation"])), addresses)
 
 
+def keys_of(source: Any, where: str = "") -> set[str]:
+    """The keys of the configuration by their paths; of a list, those that each of its parts has.
+
+    The list of servers is left out: whether it can be read shows when it is read.
+    """
+    if isinstance(source, list):
+        parts = [keys_of(part, where + "[]") for part in source]
+        return set.intersection(*parts) if parts else set()
+    found: set[str] = set()
+    if isinstance(source, dict):
+        for key, value in source.items():
+            path = f"{where}.{key}" if where else key
+            found |= {path} | (keys_of(value, path) if path != "known" else set())
+    return found
+
+
+def complete(given: Config, before: Config) -> None:
+    """ConfigError where the file lacks what the one in force has: it was cut, or written by half."""
+    if missing := sorted(before.keys - given.keys, key=lambda path: (path.count("."), path)):
+        raise ConfigError(f"{given.path}: {missing[0]} is missing, though the settings in force have it")
+
+
 def load(environment: Mapping[str, str] = os.environ) -> Config:
     """Read the file that the environment names; ConfigError says what is wrong in one line."""
     path = environment.get("BALANCER_CONFIG")
@@ -134,7 +158,8 @@
             seed=int(str(source.get("seed", "0")), 16), sockets=sockets,
             memory=int(float(limits.get("memory_mb", 192)) * 2**20),
             known=listed(source.get("known") or empty, cached=True),
-            settings=settings, management=address(management, 0) if management else None)
+            settings=settings, management=address(management, 0) if management else None,
+            keys=frozenset(keys_of(source)), path=path)
     except KeyError as fault:
         raise ConfigError(f"{path}: {fault} is missing") from None
     except (ValueError, TypeError, AttributeError, OverflowError) as fault:
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -95,9 +95,10 @@
 class Transaction:
     """What was taken on, until it is answered and its last proxy pass has ended."""
 
-    __slots__ = ("answered", "deadline", "due", "id", "offer", "out", "passes", "settled")
+    __slots__ = ("answered", "deadline", "due", "id", "most", "offer", "out", "passes", "settled")
 
-    def __init__(self, offer: Offer, due: Deferred[Answer]) -> None:
+    def __init__(self, offer: Offer, due: Deferred[Answer], most: int) -> None:
+        self.most = most                                # proxy passes, as the settings had it when it was taken
         self.offer, self.id, self.deadline, self.due = offer, offer.request.id, offer.deadline, due
         self.passes = 0                                 # proxy passes so far, and so the next one's number
         self.out: dict[int, Deferred[Outcome]] = {}     # those not ended
@@ -121,7 +122,12 @@
         self.upstream: Upstream
         self.counter: Counter | None = None
         self.discovery: Discovery | None = None
-        self._classes = {c.name: c for c in settings.classes}
+
+    def resettled(self, settings: api.Settings) -> None:
+        """Other settings hold from now on, for what is taken from now on."""
+        self._settings = settings
+        self._table.limit(min(MOST_TRANSACTIONS, int(settings.limits.max_open) or 1))
+        self.tell(api.Resettled(settings))
 
     def open(self) -> int:
         """How many transactions have not ended."""
@@ -141,7 +147,7 @@
             handle = -1
             due.callback(Answer(Verdict.UNAVAILABLE, wait=0.1))
             return due
-        transaction = Transaction(offer, due)
+        transaction = Transaction(offer, due, self._settings.limits.max_attempts)
         handle = self._table.add(transaction)
         self._by_id[transaction.id] = handle
         self._held += offer.size
@@ -234,7 +240,7 @@
             log.say("module", f"proxy pass for {action.id}, which is over")
             return
         number, transaction.passes = transaction.passes, transaction.passes + 1
-        moot = (transaction.answered or number >= self._settings.limits.max_attempts
+        moot = (transaction.answered or number >= transaction.most
                 or now >= transaction.deadline)
         deadline = transaction.deadline
         if action.timeout:
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -168,9 +168,13 @@
     """How long to wait before the next try: full jitter below a bound that grows with each failure."""
 
     def __init__(self, gateways: int, seed: int) -> None:
-        self._rng = random.Random(seed)
+        self._rng, self._most = random.Random(seed), 0.0   # the bound now
+        self.resized(gateways)
+
+    def resized(self, gateways: int) -> None:
+        """The set is of another size: the bounds follow."""
         self._first, self._last = max(PAUSE, SPACING[0] * gateways), SPACING[1] * gateways
-        self._most = self._first
+        self._most = max(self._first, min(self._last, self._most))
 
     def next(self) -> float:
         """Seconds to wait now; the bound is higher next time."""
@@ -188,7 +192,7 @@
     def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address, version: int,
                  changed: Callable[[Listed], None], gateways: int, seed: int) -> None:
         self._reactor, self._deadlines, self._address = reactor, deadlines, address
-        self._pauses = Pauses(gateways, seed)
+        self.pauses = Pauses(gateways, seed)
         self._version, self._changed = version, changed
         self._watching: Reading | None = None
         self._turn = 0              # number of the present watch; what is said of earlier ones is old
@@ -237,11 +241,11 @@
             return
         self._watching, self._turn = None, turn + 1
         log.say("discovery", f"watch at {self._address} broke: {why}", address=self._address, version=self._version)
-        self._deadlines.at(clock.now() + self._pauses.next(), self._watch, self._turn)
+        self._deadlines.at(clock.now() + self.pauses.next(), self._watch, self._turn)
 
     def _line(self, line: bytes) -> None:
         self._heard = clock.now()
-        self._pauses.served()
+        self.pauses.served()
         if not line.strip():
             return
         try:
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -21,7 +21,7 @@
     def __init__(self, deadlines: clock.Deadlines, core: Core, front: Front, longest: float,
                  stop: Callable[[], None], linger: float = LINGER) -> None:
         self.phase = Phase.STARTING
-        self._deadlines, self._core, self._front, self._longest = deadlines, core, front, longest
+        self._deadlines, self._core, self._front, self.longest = deadlines, core, front, longest
         self._stop, self._linger = stop, linger
         self.port: Any = None       # where it listens, and that as text
         self.where = ""
@@ -84,7 +84,7 @@
             self._enter(Phase.DRAINING)
             stays = clock.now() + (self._linger if linger is None else linger)
             self._deadlines.at(stays, self._close)
-            self._deadlines.at(stays + self._longest + EXTRA, self._end)
+            self._deadlines.at(stays + self.longest + EXTRA, self._end)
 
     def reread(self) -> None:
         """SIGHUP: harmless in every phase; while ending, what is in hand still wants its counter."""
--- a/thymeflow/net/reload.py
+++ b/thymeflow/net/reload.py
@@ -1,33 +1,47 @@
-"""SIGHUP: the configuration read anew while the program runs, and what of it can be moved.
+"""SIGHUP: the configuration read anew while the program runs, and taken whole or not at all.
 
 Discovery and the counter move to other addresses with nothing lost: the list and its version stay, and
-calls that are out end where they went. All else is what transactions in hand were taken under, so it
-waits for the next start, but the size of the set: limiters join and leave while others serve.
+calls that are out end where they went. Settings hold for what is taken from now on; what is open keeps those
+that it was taken under. Addresses to listen on, the name and the limits wait for the next start.
 """
 
 from __future__ import annotations
 
 from collections.abc import Callable
-from dataclasses import replace
 
+from thymeflow import interface as api
 from thymeflow.net import config, log
 from thymeflow.net.counter import Counter
 from thymeflow.net.discovery import Discovery
 
 
+def differences(old: api.Settings, new: api.Settings) -> str:
+    """What has changed of the settings, in words for the log."""
+    before, after = ({c.name: c for c in s.classes} for s in (old, new))
+    parts = [(" ".join(after.keys() - before.keys()), "added"), (" ".join(before.keys() - after.keys()), "dropped"),
+             (" ".join(n for n in before.keys() & after.keys() if before[n] != after[n]), "changed")]
+    told = [f"classes {what}: {names}" for names, what in parts if names]
+    for name, was, now in (("attempts", old.limits.max_attempts, new.limits.max_attempts),
+                           ("limiters", old.gateways, new.gateways)):
+        if was != now:
+            told.append(f"{name}: {was} to {now}")
+    return "; ".join(told) or "other values than before"
+
+
 class Reload:
     """What was read last, and who is told of what has changed."""
 
     def __init__(self, given: config.Config, discovery: Discovery, counter: Counter | None,
-                 resized: Callable[[int], None], load: Callable[[], config.Config]) -> None:
+                 resettled: Callable[[api.Settings], None], load: Callable[[], config.Config]) -> None:
         self._given, self._discovery, self._counter = given, discovery, counter
-        self._resized, self._load = resized, load
+        self._resettled, self._load = resettled, load
         self.last = ""   # what the last one came to, for whoever asks
 
     def now(self) -> bool:
         """Read the file again; one that cannot be used leaves everything as it is. Whether it could."""
         try:
             given = self._load()
+            config.complete(given, self._given)
         except config.ConfigError as fault:
             self.last = f"the old settings stay: {fault}"
             log.note("reload", self.last)
@@ -39,12 +53,10 @@
             self._discovery.move(given.discovery)
         if self._counter is not None and given.counter is not None and given.counter != before.counter:
             self._counter.move(given.counter)
-        size = given.settings.gateways
-        if size != before.settings.gateways and replace(before.settings, gateways=size) == given.settings:
-            log.note("reload", f"the set is of {size} limiters", gateways=size)
-            self._resized(size)
-            before = replace(before, settings=given.settings)
-        fixed = ("name", "listen", "management", "sockets", "memory", "settings")
+        if given.settings != before.settings:
+            log.note("reload", f"settings taken: {differences(before.settings, given.settings)}")
+            self._resettled(given.settings)
+        fixed = ("name", "listen", "management", "sockets", "memory")
         changed = [name for name in fixed if getattr(given, name) != getattr(before, name)]
         if changed:
             log.note("reload", f"{', '.join(changed)} differ and hold from the next start")
--- a/thymeflow/net/table.py
+++ b/thymeflow/net/table.py
@@ -23,6 +23,10 @@
         self._free: list[int] = []
         self._count = 0
 
+    def limit(self, most: int) -> None:
+        """Hold so many at most from now on; what is over that stays until it ends."""
+        self._most = min(most, WIDTH)
+
     def __len__(self) -> int:
         return self._count
 
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -140,7 +140,7 @@
     """All application servers."""
 
     def __init__(self, reactor: Any, deadlines: clock.Deadlines, limits: api.Limits, most: int) -> None:
-        self._reactor, self._deadlines, self._limits, self._most = reactor, deadlines, limits, most
+        self._reactor, self._deadlines, self.limits, self._most = reactor, deadlines, limits, most
         self._pools: dict[int, Pool] = {}
         self._passes: Table[ProxyPass] = Table(1 << 16)
         self._count = 0             # connections open or being opened
@@ -229,7 +229,7 @@
 
     def _dial(self, pool: Pool) -> None:
         pool.dialing, self._count = pool.dialing + 1, self._count + 1
-        deadline = clock.now() + self._limits.connect_timeout
+        deadline = clock.now() + self.limits.connect_timeout
         up = dial(self._reactor, self._deadlines, pool.address, deadline, lambda: Connection(self, pool))
         up.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(pool,))
 
@@ -332,7 +332,7 @@
     def _sweep(self, _: int) -> None:
         now = clock.now()
         for pool in self._pools.values():
-            while pool.idle and now - pool.idle[0].since > IDLE_SHARE * self._limits.connection_idle:
+            while pool.idle and now - pool.idle[0].since > IDLE_SHARE * self.limits.connection_idle:
                 pool.idle.pop(0).hang_up()
                 self._count -= 1
         self._deadlines.at(now + SWEEP, self._sweep)
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -5,12 +5,11 @@
 import hashlib
 import random
 from collections.abc import Callable
-from dataclasses import replace
 from math import exp, inf, isfinite, sqrt
 from typing import Any
 
+from thymeflow import counts, notes
 from thymeflow import interface as api
-from thymeflow import notes
 from thymeflow.job import NEVER_RAN, Job
 
 FLOOR = 0.8            # of the declared units: least charge beyond quota under pressure (HIP-185)
@@ -26,12 +25,11 @@
 HOLD = (5.0, 40.0)     # s: memory of told demand; long where a customer is met seldom and nobody calls
 START_LEVEL = 0.5      # of the burst: level after a start, for what earlier lives or peers may have spent
 CALLS = (0.5, 120.0, 200.0)  # counter calls a second: least, most, and what all gateways start with
-FORGET = 20.0          # s: idle customers are dropped (their stores are full again before); over a WINDOW
+FORGET = 20.0          # s: idle customers are dropped (their stores are full again before); over a window
 WORTH_TELLING = (0.05, 0.3)   # of the burst untold, or of the rate asked: from either a call is worth it
 TICK = 0.1             # s: pace of notes and upkeep; well under the demand period
 SPEAK_EVERY = 0.5      # s: least time between counter calls for one customer, and between notes unasked
 ACTIVE = (15.0, 4.0)   # s: who asked within the first is told each round, the whole set every second
-WINDOW = 10.0          # s: a count's name lives this long, so that the first reading already tells a rate
 TELL_SHARE = 0.7       # of the intake: most notes sent a second; all gateways together then fit into it
 BUSY = (0.5, 0.6)      # demand over rate from which, level over burst up to which, word changes answers
 PRESSED_AT = 0.4       # of the aim: mean answer time from which the back end is pressed
@@ -206,9 +204,9 @@
     """One gateway: hand it every event in order and carry out the actions it returns."""
 
     def __init__(self, settings: api.Settings, seed: int, start: float = START_LEVEL) -> None:
-        self.settings, self.rng, self.limits = settings, random.Random(seed), settings.limits
+        self.rng, self.budget = random.Random(seed), inf   # further attempts left
+        self.adopt(settings)
         self.start = start   # of the burst: 0 for one that joins a running set, where all is given out
-        self.classes, self.plans = {c.name: c for c in settings.classes}, {p.name: p for p in settings.plans}
         self.servers, self.stores = dict[int, Server](), dict[int, Store]()   # stores by customer number
         self.jobs, self.timers = dict[str, Work](), dict[int, tuple[str, str]]()
         self.peers: dict[int, tuple[int, int]] = {}        # life, last sequence
@@ -219,14 +217,13 @@
         self.call_rate = self.call_room = max(CALLS[0], min(CALLS[1], CALLS[2] / settings.gateways))
         self.born, self.now, self.actions = -inf, 0.0, list[api.Action]()
         self.token, self.out, self.answered = 0, 0, -inf   # last timer; attempts out; last answer taken in
-        self.budget = self.saved = 1.0 + RETRY[1] / settings.gateways   # further attempts: left, most
         self.pressure, self.usual = 0.0, PRESSED_AT / 2.0   # mean answer times over the aim: late, long
         self.life, self.sequence, self.noted = self.rng.randrange(1 << 16), 0, -inf
         self.handlers: dict[type, Callable[[Any], None]] = {
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.Membership: self.on_membership, api.PeerMessage: self.on_note, api.ClientLeft: self.on_passed,
             api.CounterReply: self.on_counter, api.ResponseStarted: self.on_passed,
-            api.Resized: self.on_resized}
+            api.Resettled: self.on_resettled}
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:   # decide on one event
         self.now, self.actions = now, []
@@ -254,12 +251,18 @@
             if entry.state is not api.BackendState.GONE:
                 self.servers[entry.id], server.entry = server, entry
 
-    def on_resized(self, event: api.Resized) -> None:   # all that goes by the size of the set is taken anew
-        self.settings = replace(self.settings, gateways=event.gateways)
-        self.saved = 1.0 + RETRY[1] / event.gateways
+    def adopt(self, settings: api.Settings) -> None:   # all that is derived from them
+        self.settings, self.limits = settings, settings.limits
+        self.classes, self.plans = {c.name: c for c in settings.classes}, {p.name: p for p in settings.plans}
+        self.saved = 1.0 + RETRY[1] / settings.gateways   # further attempts saved up at most
         self.budget = min(self.budget, self.saved)
-        for store in self.stores.values():
-            store.moved = True
+
+    def on_resettled(self, event: api.Resettled) -> None:   # what is open keeps the rules it was taken under
+        moved = event.settings.gateways != self.settings.gateways
+        self.adopt(event.settings)
+        for store in self.stores.values():   # filled at the old rate until now; its level stays
+            store.refresh(self.now)
+            store.plan, store.moved = self.plans.get(store.plan.name, store.plan), store.moved or moved
 
     def choose(self, job: Work) -> Server | None:   # the lawful backend with the least wait
         ready = [s for s in self.servers.values() if s.entry.state is api.BackendState.READY]
@@ -292,7 +295,7 @@
         cls = self.classes.get(event.class_name, unknown)
         # An answer after the aim is worth nothing here: what it would hold is better given to another.
         most = cls.aim if cls.late_worth <= 0.0 and not cls.aim_stretch and not cls.stream else inf
-        job = Work(event, cls, store, self.now + min(event.remaining, most))
+        job = Work(event, cls, store, self.now + min(event.remaining, most), self.limits.max_attempts)
         if not event.retry:   # a client's repeat is the same demand again, not more of it
             store.own, store.asked = store.own + event.units / store.period, store.asked + event.units
         fits = store.room(event.units, self.rng.random())
@@ -341,7 +344,7 @@
         ran, effect = job.ran(), job.cls.effect
         end = min(job.end, ran[0][1] + job.cls.window) if ran and effect is api.Effect.KEYED else job.end
         barred = ran and (effect is api.Effect.UNSAFE or self.budget < 1.0)
-        barred = barred or job.streaming or len(job.attempts) >= self.limits.max_attempts
+        barred = barred or job.streaming or len(job.attempts) >= job.most
         server = None if barred or self.now > end - MARGIN else self.choose(job)
         if server is not None:
             self.budget -= float(bool(ran))
@@ -459,9 +462,9 @@
             due = [s for s in map(self.stores.get, self.fresh) if s and s.telling(self.now)]
             due.sort(key=lambda s: (s.told - s.asked) / max(s.plan.rate, 1e-9))
             for store in due[:int(self.call_room)]:
-                name = store.number << 24 | int(self.now / WINDOW + store.number % 1000 / 1000.0) % 2**24
+                name = counts.name(store.number, self.now)
                 self.calls[name] = (store.number, store.asked - store.told)
-                self.actions.append(api.Count(name, store.asked - store.told, 2.0 * WINDOW))
+                self.actions.append(api.Count(name, store.asked - store.told, 2.0 * counts.WINDOW))
                 store.called, store.told, self.call_room = self.now, store.asked, self.call_room - 1.0
                 del self.fresh[store.number]
 
@@ -469,8 +472,9 @@
         said: dict[int, list[notes.Entry]] = {}
 
         def say(peer: int, store: Store, told: bool, first: float, second: float) -> None:
-            kind = self.settings.plans.index(store.plan)
-            said.setdefault(peer, []).append(notes.Entry(store.number, kind, told, first, second))
+            if store.plan in self.settings.plans:   # else it was dropped: peers have no name for it
+                kind = self.settings.plans.index(store.plan)
+                said.setdefault(peer, []).append(notes.Entry(store.number, kind, told, first, second))
 
         for store in [self.stores[n] for n in self.fresh if n in self.stores]:
             for peer in store.members[:MEETINGS]:
@@ -538,14 +542,14 @@
         elif store and good and isfinite(event.total):
             store.refresh(self.now)
             store.met = self.now
-            self.heard, window, since, before = self.now, event.name % 2**24, store.read, store.total
+            self.heard, window, since, before = self.now, counts.window(event.name), store.read, store.total
             if window != store.window or event.total < before:
-                since, before = self.now - (self.now / WINDOW + number % 1000 / 1000.0) % 1.0 * WINDOW, 0.0
+                since, before = self.now - counts.age(number, self.now), 0.0
             mine += store.unsure[1] if store.unsure[0] == window else 0.0
             gap, rise = max(0.0, self.now - since), max(0.0, event.total - before - mine)
             store.others = (rise + store.others * DEMAND_PERIOD) / (gap + DEMAND_PERIOD)
             store.window, store.total, store.read = window, event.total, self.now
             store.unsure = (-1, 0.0)
         elif store:   # late or spoilt, it was most likely added: our own units, not demand of others
-            window = event.name % 2**24
+            window = counts.window(event.name)
             store.unsure = (window, mine + (store.unsure[1] if store.unsure[0] == window else 0.0))
