Hand socket and state over between two copies of run during an upgrade

Change: the daemon's hand-over (tables, control socket, both hands) moved to succession/ and serves run as well, where the configuration names mgmt; daemon and run are two estates behind one protocol. New in the table: HANDED, from which the old one comes back if its successor dies, and CONFIRM, for a word that crosses SIGTERM (before, the successor took the old one's end for a failure and retreated: nobody served). The old one tells what it still holds, and the new one keeps its descriptors and memory beside that; pools of the old one rest.

--- a/benchmarks/prove_fleet.py
+++ b/benchmarks/prove_fleet.py
@@ -26,10 +26,10 @@
 from twisted.internet import reactor as _reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 
-from thymeflow.daemon.ask import Unanswered, ask
 from thymeflow.lab.standins import Customer, World
 from thymeflow.lab.standins.site import CLASSES, PLANS
 from thymeflow.net import clock
+from thymeflow.succession.ask import Unanswered, ask
 
 reactor: Any = _reactor
 FULL = os.environ.get("FULL") == "1"
--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -8,6 +8,7 @@
 
 import signal  # noqa: E402
 import sys  # noqa: E402
+from collections.abc import Callable  # noqa: E402
 from typing import Any  # noqa: E402
 
 from thymeflow.net import config, log  # noqa: E402
@@ -27,18 +28,27 @@
     from twisted.internet import reactor
     from twisted.internet.error import CannotListenError
 
-    from thymeflow.net.assembly import Limiter
-
     loop: Any = reactor
+    running = None
     try:
-        limiter = Limiter(given, loop)
-        limiter.start()
+        if given.management is None:
+            from thymeflow.net.assembly import Limiter
+
+            limiter = Limiter(given, loop)
+            limiter.start()
+            lifecycle = limiter.lifecycle
+            end: Callable[[], None] = lifecycle.terminate
+        else:   # staff run it, and new versions come under load
+            from thymeflow.succession.run import Running
+
+            running = Running(given, loop)
+            running.start()
+            lifecycle, end = running.limiter.lifecycle, running.end
     except CannotListenError as fault:
         print(f"thymeflow: cannot listen: {fault}", file=sys.stderr)
         return 3
-    lifecycle = limiter.lifecycle
     for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: loop.callFromThread(lifecycle.terminate))
+        signal.signal(number, lambda *_: loop.callFromThread(end))
     signal.signal(signal.SIGHUP, lambda *_: loop.callFromThread(lifecycle.reread))
     if early:
         loop.callFromThread(lifecycle.reread)
@@ -46,7 +56,7 @@
     gc.freeze()   # what stands by now lasts, and need not be looked through again and again
     gc.enable()
     loop.run(installSignalHandlers=False)
-    return 0
+    return 0 if running is None else running.code
 
 
 def entry() -> int:
--- a/thymeflow/cli/common.py
+++ b/thymeflow/cli/common.py
@@ -51,8 +51,8 @@
     from twisted.internet import reactor
     from twisted.internet.defer import Deferred
 
-    from thymeflow.daemon.ask import Unanswered, ask
     from thymeflow.net import clock
+    from thymeflow.succession.ask import Unanswered, ask
 
     loop: Any = reactor
     found: list[Any] = []
--- a/thymeflow/cli/snapshot.py
+++ b/thymeflow/cli/snapshot.py
@@ -33,7 +33,7 @@
 @json_option
 def show(file: str, customers: int, as_json: bool) -> None:
     """Show what lies in a snapshot FILE, and whether it is sound."""
-    import msgspec
+    from dataclasses import asdict
 
     from thymeflow.state import keep, record
 
@@ -45,7 +45,7 @@
     except record.SnapshotError as fault:
         fail(f"{file}: {fault}", BAD_SETTINGS)
     if as_json:
-        click.echo(json.dumps(msgspec.to_builtins(found)))
+        click.echo(json.dumps(asdict(found)))
         sys.exit(0)
     age = time.time() - found.taken
     kind = "the last of its life" if found.final else "taken in passing"
--- a/thymeflow/daemon/activation.py
+++ b/thymeflow/daemon/activation.py
@@ -6,47 +6,10 @@
 import socket
 from collections.abc import MutableMapping
 
+from thymeflow.succession.listening import BadDescriptor, checked
+
 FIRST = 3          # the first descriptor handed in
 MOST = 16
-BACKLOG = 511      # connections that wait to be accepted, as on the run line
-
-
-class BadDescriptor(Exception):
-    """What was handed in is no listening stream socket; the text names it."""
-
-
-def checked(descriptor: int) -> socket.socket:
-    """The listening socket behind a descriptor, not blocking and not inherited further on."""
-    try:
-        found = socket.socket(fileno=os.dup(descriptor))
-    except OSError as fault:
-        raise BadDescriptor(f"descriptor {descriptor} is no socket ({fault.strerror})") from None
-    try:
-        listens = found.getsockopt(socket.SOL_SOCKET, socket.SO_ACCEPTCONN)
-        family, kind = found.family, found.type
-        if not listens or kind != socket.SOCK_STREAM:
-            raise BadDescriptor(f"descriptor {descriptor} is a socket that does not listen for streams")
-        if family not in (socket.AF_INET, socket.AF_INET6):
-            raise BadDescriptor(f"descriptor {descriptor} is of the family {family.name}, not AF_INET or AF_INET6")
-    except (OSError, BadDescriptor):
-        found.close()
-        raise
-    found.setblocking(False)
-    return found
-
-
-def bound(host: str, port: int) -> socket.socket:
-    """A listening socket of our own, made so that it can be passed on; OSError where the address is not to be had."""
-    made = socket.socket(socket.AF_INET6 if ":" in host else socket.AF_INET, socket.SOCK_STREAM)
-    try:
-        made.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        made.bind((host, port))
-        made.listen(BACKLOG)
-    except OSError:
-        made.close()
-        raise
-    made.setblocking(False)
-    return made
 
 
 def handed_in(environment: MutableMapping[str, str], pid: int) -> list[socket.socket]:
--- a/thymeflow/daemon/answers.py
+++ b/thymeflow/daemon/answers.py
@@ -7,11 +7,10 @@
 from typing import TYPE_CHECKING, Any
 
 from thymeflow import interface as api
-from thymeflow.daemon.control import Caller, Message
-from thymeflow.daemon.handover import Word
 from thymeflow.net import clock, log, phases
 from thymeflow.net.phases import Phase
 from thymeflow.observe.structured import LEVELS
+from thymeflow.succession.control import Caller, Message
 
 if TYPE_CHECKING:
     from thymeflow.daemon.service import Service
@@ -29,16 +28,14 @@
         self._words: dict[str, Callable[[Caller, Message], None]] = {
             "status": self._status, "watch": self._watch, "drain": self._drain, "reload": self._reload,
             "evacuate": self._call, "activate": self._call, "level": self._level,
-            "snapshot": self._snapshot, "socket": self._socket,
-            "take": lambda caller, message: service.giving.asked(caller, message)}
+            "snapshot": self._snapshot, "socket": self._socket}
 
     def served(self, caller: Caller, message: Message) -> None:
         """Answer one message."""
         word = message.get("do")
-        if word in (Word.READY.value, Word.TOOK.value, Word.SERVING.value) and (
-                caller is self._service.giving.other):
-            self._service.giving.heard(Word(word))
-        elif isinstance(word, str) and word in self._words:
+        if self._service.giving.served(caller, message):
+            return
+        if isinstance(word, str) and word in self._words:
             self._words[word](caller, message)
         else:
             caller.say({"ok": False, "why": f"'do' is {str(word)[:40]!r}; it may be {', '.join(self._words)}"})
--- a/thymeflow/daemon/service.py
+++ b/thymeflow/daemon/service.py
@@ -1,7 +1,7 @@
 """One limiter as a daemon: lock, sockets, memory, control and hand-over wired round the same parts.
 
-What is decided lies elsewhere: `handover` (who accepts), `state.meaning` (what a snapshot means), `net.lifecycle`
-(phases). Here are the hands that the parts share.
+What is decided lies elsewhere: `succession.table` (who accepts), `state.meaning` (what a snapshot means),
+`net.lifecycle` (phases). Here are the hands that the parts share.
 """
 
 from __future__ import annotations
@@ -21,13 +21,9 @@
 from thymeflow import Gateway
 from thymeflow.daemon import activation
 from thymeflow.daemon.answers import Answers
-from thymeflow.daemon.control import Control, ControlError
-from thymeflow.daemon.giving import Giving
-from thymeflow.daemon.handover import Giver, Told, Word
 from thymeflow.daemon.lock import Held, Lock
 from thymeflow.daemon.memory import Memory
 from thymeflow.daemon.notify import Notifier
-from thymeflow.daemon.taking import Taking
 from thymeflow.net import clock, config, log
 from thymeflow.net.assembly import Limiter
 from thymeflow.net.phases import Phase
@@ -35,6 +31,12 @@
 from thymeflow.policy import START_LEVEL
 from thymeflow.settings import Settings, SettingsError
 from thymeflow.state import meaning, record
+from thymeflow.succession import listening
+from thymeflow.succession.control import Control, ControlError
+from thymeflow.succession.estate import Unfit
+from thymeflow.succession.giving import OFF, Giving
+from thymeflow.succession.table import Giver, Told, Word
+from thymeflow.succession.taking import Taking
 
 BAD_CONFIGURATION, CANNOT_LISTEN, NAME_HELD, NO_HAND_OVER = 2, 3, 4, 5   # exit codes; docs/fleet.md
 
@@ -71,7 +73,7 @@
         self.control: Control | None = None
         self.limiter: Limiter
         self.answers, self.giving = Answers(self), Giving(self)
-        self.taking: Taking | None = Taking(self) if options.take_over else None
+        self.taking: Taking | None = Taking(self, self.path("sock")) if options.take_over else None
         self.code = 0
         self.reloaded = ""           # what the last reload came to
 
@@ -97,7 +99,7 @@
         try:
             handed = activation.handed_in(os.environ, os.getpid())
             self.lock = Lock.take(self.path("lock"), self.life)
-        except activation.BadDescriptor as fault:
+        except listening.BadDescriptor as fault:
             raise CannotStart(f"sockets handed in: {fault}", CANNOT_LISTEN) from None
         except Held as fault:
             raise CannotStart(str(fault), NAME_HELD) from None
@@ -144,16 +146,7 @@
 
     def listen(self, handed: socket.socket | None) -> None:
         """Begin to accept, on a socket made elsewhere or on one of our own."""
-        # Ours is adopted as well: a port that Twisted has made shuts its socket down when it closes, and with it
-        # the copy that a successor holds.
-        listening = handed or activation.bound(self.given.listen.host, self.given.listen.port)
-
-        def adopt(front: Any) -> Any:
-            port = self.reactor.adoptStreamPort(listening.fileno(), listening.family, front)
-            listening.close()
-            return port
-
-        self.limiter.listen(adopt)
+        self.limiter.listen(handed or listening.bound(self.given.listen.host, self.given.listen.port))
 
     def run(self) -> int:
         """Serve until the end; the exit code."""
@@ -211,7 +204,51 @@
         return good and not ours
 
     def _owner(self) -> bool:
-        return self.giving.state is not Giver.GIVEN and self.lock is not None
+        return self.giving.state not in OFF and self.lock is not None
+
+    # What a hand-over asks of the daemon: see `succession.estate`.
+
+    @property
+    def past(self) -> Memory:
+        """What is remembered."""
+        return self.memory
+
+    @property
+    def patience(self) -> float:
+        """Seconds for a step."""
+        return self.settings.daemon.hand_over
+
+    proof, strict = 0.0, True     # whoever started the successor watches it, and starts another
+
+    def descriptors(self) -> list[int]:
+        """Listening socket and lock."""
+        assert self.lock is not None
+        return [self.limiter.lifecycle.port.fileno(), self.lock.descriptor]
+
+    def take_in(self, descriptors: list[int]) -> socket.socket:
+        """Listening socket and lock as they came; Unfit where they are not that."""
+        try:
+            if len(descriptors) != 2:
+                raise listening.BadDescriptor(f"{len(descriptors)} descriptors came with it, not 2")
+            found = listening.checked(descriptors[0])
+            self.lock = Lock.passed_on(self.path("lock"), descriptors[1])
+        except (listening.BadDescriptor, Held, OSError) as fault:
+            raise Unfit(str(fault)) from None
+        return found
+
+    def accept(self, taken: socket.socket) -> str:
+        """Hold the name, and accept."""
+        fault = self.open_control()
+        if not fault:
+            assert self.lock is not None
+            self.lock.sign(self.life)
+            self.listen(taken)
+        return fault
+
+    def resumed(self) -> None:
+        """The name is ours again."""
+        if self.lock is not None:
+            self.lock.sign(self.life)
 
     def _now_and_then(self, _: int) -> None:
         self.limiter.deadlines.at(clock.now() + self.settings.snapshot.every, self._now_and_then)
@@ -220,12 +257,15 @@
 
     def give_up(self) -> None:
         """End at once, having accepted nothing: somebody else serves under this name."""
+        log.note("hand-over", "given up: the process that serves goes on")
         self.lock = None          # the other end holds it too, and goes on holding it
         self.code = self.code or NO_HAND_OVER
         self.reactor.callWhenRunning(self.reactor.stop)
 
     def retreat(self) -> None:
         """End in good order, leaving name, socket and snapshot to another."""
+        log.note("hand-over", "the old life took everything back: this one finishes what it took")
+        self.giving.state = Giver.GIVEN     # name and snapshot are not ours to write
         self.code = NO_HAND_OVER
         self.limiter.lifecycle.terminate(0.0)
 
--- a/thymeflow/fleet/run.py
+++ b/thymeflow/fleet/run.py
@@ -14,9 +14,9 @@
 from twisted.internet.protocol import ProcessProtocol
 from twisted.python.failure import Failure
 
-from thymeflow.daemon import ask
-from thymeflow.daemon.control import Message
 from thymeflow.net import clock
+from thymeflow.succession import ask
+from thymeflow.succession.control import Message
 
 LINK_PACE = 0.05      # s: between tries to reach a control socket that is not there yet
 SHELL = 'LISTEN_PID=$$ exec "$@"'   # the child's own pid, as sd_listen_fds(3) wants it
--- a/thymeflow/fleet/supervisor.py
+++ b/thymeflow/fleet/supervisor.py
@@ -22,8 +22,6 @@
 
 from twisted.internet.defer import Deferred, DeferredList
 
-from thymeflow.daemon import activation, ask
-from thymeflow.daemon.control import Caller, Control, ControlError, Message
 from thymeflow.daemon.lock import Held, Lock
 from thymeflow.daemon.notify import Notifier
 from thymeflow.daemon.service import BAD_CONFIGURATION, CANNOT_LISTEN, NAME_HELD
@@ -34,6 +32,8 @@
 from thymeflow.observe.structured import Logbook
 from thymeflow.settings import Settings, SettingsError
 from thymeflow.settings.units import BadValue, Count
+from thymeflow.succession import ask, listening
+from thymeflow.succession.control import Caller, Control, ControlError, Message
 
 FIND = 1.0          # s: in which a member that runs answers
 LAST_WORDS = 0.1    # s: for the last answer to leave
@@ -157,8 +157,8 @@
             talk = line[0]
             if message.get("ok") and talk.descriptors:
                 descriptor = talk.descriptors.pop()
-                with contextlib.suppress(activation.BadDescriptor, OSError):
-                    self._sockets[number] = activation.checked(descriptor)
+                with contextlib.suppress(listening.BadDescriptor, OSError):
+                    self._sockets[number] = listening.checked(descriptor)
                 os.close(descriptor)
             talk.close()
 
@@ -250,7 +250,7 @@
         held = self._sockets.get(number)
         if held is None:
             where = roster.listen_of(self._fleet.listen, number, self._ports)
-            held = activation.bound(where.host, where.port)
+            held = listening.bound(where.host, where.port)
             self._sockets[number] = held
         self._ports[str(number)] = held.getsockname()[1]
         return held
--- a/thymeflow/lab/demo.py
+++ b/thymeflow/lab/demo.py
@@ -26,10 +26,10 @@
 from rich.text import Text
 from twisted.internet.defer import Deferred, inlineCallbacks
 
-from thymeflow.daemon.ask import Unanswered, ask
 from thymeflow.lab.standins import Customer, World
 from thymeflow.lab.standins.site import CLASSES, PLANS
 from thymeflow.net import clock
+from thymeflow.succession.ask import Unanswered, ask
 
 LIMITERS, SERVERS = 3, 4
 DEMAND = {"kedai": 0.6, "biasa": 0.8, "rangkaian": 1.0, "korporat": 1.6}   # of the quota: the last asks too much
--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -21,6 +22,8 @@
 AGENT_SHARE = 0.7     # of the descriptors: for user agents; the rest is for application servers
 MEMORY_SHARE = 0.25   # of the memory limit: for requests held
 ANSWER_SHARE = 0.15   # of the memory limit: for answers that user agents have not taken
+OTHERS = 16           # descriptors of an earlier life beside its connections
+LEAST_ROOM = 24       # descriptors for connections, however many an earlier life still holds
 INPUT_SHARE = 0.05    # of the memory limit: for commands that have begun and are not whole
 
 
@@ -38,6 +41,7 @@
         self.given, self.reactor = given, reactor
         self.deadlines = clock.Deadlines(reactor)
         room = given.sockets - config.SPARE_SOCKETS
+        self._connected = False
         self.gateway = gateway or Gateway(settings, given.seed)
         self.core = Core(settings, self.gateway, self.deadlines, int(given.memory * MEMORY_SHARE))
         agents = int(room * AGENT_SHARE)
@@ -86,13 +90,39 @@
             log.note("calls", f"operators may call at {where.host}:{port.getHost().port}")
 
     def connect(self) -> None:
-        """Connect to counter and discovery."""
+        """Connect to counter and discovery, once."""
+        if self._connected:
+            return
+        self._connected = True
         if self.counter is not None:
             self.counter.connect()
         self.discovery.start()
 
-    def listen(self, listen: Callable[[Front], Any] | None = None) -> None:
-        """Begin to listen; `listen` makes the port where the address is not for us to bind."""
+    def beside(self, held: int | None) -> None:
+        """An earlier life of this limiter holds so many descriptors, or has ended: the limits are for both."""
+        room = self.given.sockets - config.SPARE_SOCKETS
+        if held is not None:
+            room = max(LEAST_ROOM, room - held - OTHERS)
+        agents, memory = int(room * AGENT_SHARE), self.given.memory // (1 if held is None else 2)
+        self.front.limit(agents, int(memory * ANSWER_SHARE), int(memory * INPUT_SHARE))
+        self.upstream.limit(room - agents)
+        self.core.limit(int(memory * MEMORY_SHARE))
+
+    def handed(self, handed: bool) -> None:
+        """A successor accepts from now on, or it does not and we do again."""
+        self.upstream.rest(handed)
+        if handed:
+            self.lifecycle.handed()
+        else:
+            self.lifecycle.resumed()
+
+    def listen(self, made: socket.socket | None = None) -> None:
+        """Begin to listen, at a socket that was made elsewhere where one is given; it is ours from then on."""
         where = self.given.listen
-        self.lifecycle.listening(listen(self.front) if listen else self.reactor.listenTCP(
-            where.port, self.front, backlog=511, interface=where.host))
+        if made is None:
+            port = self.reactor.listenTCP(where.port, self.front, backlog=511, interface=where.host)
+        else:
+            # A port that Twisted has made shuts its socket down when it closes, and with it any copy elsewhere.
+            port = self.reactor.adoptStreamPort(made.fileno(), made.family, self.front)
+            made.close()
+        self.lifecycle.listening(port)
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -129,6 +129,10 @@
         self._table.limit(min(MOST_TRANSACTIONS, int(settings.limits.max_open) or 1))
         self.tell(api.Resettled(settings))
 
+    def limit(self, memory: int) -> None:
+        """Another bound on the bytes held, for what is taken from now on."""
+        self._memory = memory
+
     def open(self) -> int:
         """How many transactions have not ended."""
         return len(self._table)
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -127,7 +127,7 @@
         if fault and not self._last:
             self._garbled(fault)
         self._flush()
-        if self._front.emptying and self._asked:
+        if self._front.emptying and (self._asked or self._front.closing):
             self.finish()
 
     def _garbled(self, fault: str) -> None:
@@ -313,6 +313,11 @@
             least.drop()
         return UserAgent(self)
 
+    def limit(self, most: int, most_held: int, most_input: int) -> None:
+        """Other bounds hold for what comes from now on."""
+        self._most, self.most_held, self._most_input = most, most_held, most_input
+        self.agents.limit(most)
+
     def taken_in(self, change: int) -> None:
         """Guards the memory limit against commands that are begun and not ended, on many connections."""
         self._input += change
@@ -336,7 +341,7 @@
 
     def fill(self) -> None:
         """Back at work: what connects or asks from now on stays."""
-        self.emptying = False
+        self.emptying = self.closing = False
 
     def empty(self) -> None:
         """Let go of user agents: idle connections end now, the others with their last answer."""
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -16,7 +16,7 @@
 
 
 class Lifecycle:
-    """Goes from phase to phase; only from evacuated there is a way back."""
+    """Goes from phase to phase; there are ways back from evacuated and from handed over."""
 
     def __init__(self, deadlines: clock.Deadlines, core: Core, front: Front, longest: float,
                  stop: Callable[[], None], linger: float = LINGER) -> None:
@@ -36,7 +36,7 @@
 
     def takes(self) -> bool:
         """Whether user agents are taken now: what `PING` and `readyz` both answer."""
-        return self.phase is Phase.SERVING or (self.phase is Phase.DRAINING and self._lingers)
+        return self.phase in (Phase.SERVING, Phase.HANDED) or (self.phase is Phase.DRAINING and self._lingers)
 
     def call(self, word: Word) -> tuple[bool, str]:
         """An operator's call: whether the answer is yes, and the reason in words."""
@@ -77,10 +77,23 @@
         if self.phase is Phase.STARTING and self._listed and self.port is not None:
             self._enter(Phase.SERVING)
 
+    def handed(self) -> None:
+        """A successor accepts: let go of user agents; the socket is kept in case that one dies."""
+        self._enter(Phase.HANDED)
+        self._front.close()
+
+    def resumed(self) -> None:
+        """It died, or never accepted: accept again."""
+        if self.phase in (Phase.HANDED, Phase.SERVING, Phase.EVACUATED):
+            if self.phase is Phase.HANDED:
+                self._enter(Phase.SERVING)
+                self._front.fill()
+            self.port.startReading()
+
     def terminate(self, linger: float | None = None) -> None:
         """SIGTERM or SIGINT: end in good order; `linger` where nobody needs the time to notice."""
-        if self.phase in (Phase.STARTING, Phase.SERVING, Phase.EVACUATED):
-            self._lingers = self.phase is not Phase.EVACUATED
+        if self.phase not in (Phase.DRAINING, Phase.STOPPED):
+            self._lingers = self.phase not in (Phase.EVACUATED, Phase.HANDED)
             self._enter(Phase.DRAINING)
             stays = clock.now() + (self._linger if linger is None else linger)
             self._deadlines.at(stays, self._close)
@@ -93,6 +106,8 @@
 
     def _close(self, _: int) -> None:
         if self.port is not None:
+            if self.takes():
+                self.port.doRead()   # who waits in the queue would be reset with it
             self.port.stopListening()
         self._closed, self._lingers = True, False
         self._front.close()
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -143,7 +143,8 @@
         self._reactor, self._deadlines, self.limits, self._most = reactor, deadlines, limits, most
         self._pools: dict[int, Pool] = {}
         self._passes: Table[ProxyPass] = Table(1 << 16)
-        self._count = 0             # connections open or being opened
+        self.count = 0              # connections open or being opened
+        self.resting = False        # nothing new is expected: a connection that falls idle is closed
         self._sweep(0)
 
     def listed(self, listed: Listed) -> None:
@@ -173,9 +174,19 @@
     def _close(self, pool: Pool) -> None:
         for connection in pool.idle:
             connection.hang_up()
-        self._count -= len(pool.idle)
+        self.count -= len(pool.idle)
         pool.idle.clear()
 
+    def limit(self, most: int) -> None:
+        """Another bound on connections, for those that are opened from now on."""
+        self._most = most
+
+    def rest(self, resting: bool) -> None:
+        """Whether connections that fall idle are of no more use: servers hold only so many."""
+        self.resting = resting
+        for pool in self._pools.values() if resting else ():
+            self._close(pool)
+
     def close_idle(self, backend: int) -> None:
         """Close the idle connections to one application server."""
         if pool := self._pools.get(backend):
@@ -195,7 +206,7 @@
             going.due = self._deadlines.at(order.deadline, self._late, handle)
             if connection := self._warm(pool):
                 self._pass_on(connection, handle)
-            elif self._count < self._most or self._spare_one():
+            elif self.count < self._most or self._spare_one():
                 pool.waiting.append(handle)
                 self._dial(pool)
             else:
@@ -209,7 +220,7 @@
         if not unread(connection.transport):
             return True
         connection.hang_up()
-        self._count -= 1
+        self.count -= 1
         return False
 
     def _warm(self, pool: Pool) -> Connection | None:
@@ -224,11 +235,11 @@
         if not pools:
             return False
         min(pools, key=lambda p: p.idle[0].since).idle.pop(0).hang_up()
-        self._count -= 1
+        self.count -= 1
         return True
 
     def _dial(self, pool: Pool) -> None:
-        pool.dialing, self._count = pool.dialing + 1, self._count + 1
+        pool.dialing, self.count = pool.dialing + 1, self.count + 1
         deadline = clock.now() + self.limits.connect_timeout
         up = dial(self._reactor, self._deadlines, pool.address, deadline, lambda: Connection(self, pool))
         up.addCallbacks(self._dialled, self._not_dialled, errbackArgs=(pool,))
@@ -239,7 +250,7 @@
             self._release(connection)
 
     def _not_dialled(self, failure: Any, pool: Pool) -> None:
-        pool.dialing, self._count = pool.dialing - 1, self._count - 1
+        pool.dialing, self.count = pool.dialing - 1, self.count - 1
         log.say("connect failed", f"{pool.address}: {failure.getErrorMessage()}", address=pool.address)
         # Each waiting pass has a dial of its own, but any connection that came free may have served it.
         if len(pool.waiting) > pool.dialing:
@@ -247,9 +258,10 @@
 
     def _release(self, connection: Connection) -> None:
         pool = connection.pool
-        if pool.state is not READY:   # looked at again when about to write: it may drain by now
+        # Looked at again when about to write: it may drain by now.
+        if pool.state is not READY or (self.resting and not pool.waiting):
             connection.hang_up()
-            self._count -= 1
+            self.count -= 1
         elif not self._usable(connection):
             return                    # each waiting pass has a dial of its own
         elif pool.waiting:
@@ -272,7 +284,7 @@
             self._release(connection)
         else:
             connection.hang_up()
-            self._count -= 1
+            self.count -= 1
         self._end(handle, outcome)
 
     def expect_rest(self, connection: Connection) -> None:
@@ -286,7 +298,7 @@
 
     def spoilt(self, connection: Connection) -> None:
         """A connection was given up as what it brought cannot be read."""
-        self._count -= 1
+        self.count -= 1
         handle, connection.carries = connection.carries, -1
         if handle >= 0:
             self._end(handle, Outcome(api.Status.ERROR))
@@ -296,7 +308,7 @@
     def lost(self, connection: Connection) -> None:
         """A connection ended; a pass not wholly written has never run, another one may have."""
         handle, connection.carries = connection.carries, -1
-        self._count -= 1
+        self.count -= 1
         if handle >= 0:
             address = connection.pool.address
             log.say("reset", f"{address} broke a connection with a proxy pass out", address=address)
@@ -317,7 +329,7 @@
         if going.connection is not None:   # closing it is how the other end learns that nobody waits
             going.connection.carries = -1
             going.connection.hang_up()
-            self._count -= 1
+            self.count -= 1
         elif pool := self._pools.get(going.order.backend):
             pool.waiting.remove(handle)
         self._end(handle, Outcome(status))
@@ -334,5 +346,5 @@
         for pool in self._pools.values():
             while pool.idle and now - pool.idle[0].since > IDLE_SHARE * self.limits.connection_idle:
                 pool.idle.pop(0).hang_up()
-                self._count -= 1
+                self.count -= 1
         self._deadlines.at(now + SWEEP, self._sweep)
--- a/thymeflow/state/meaning.py
+++ b/thymeflow/state/meaning.py
@@ -76,6 +76,11 @@
     return listed(snapshot) if snapshot.servers and snapshot.version > known.membership.version else known
 
 
+def _spend(store: Store, units: float) -> None:
+    store.level -= min(units, max(0.0, store.level))
+    store.fleet -= min(units, max(0.0, store.fleet))
+
+
 def _recalled(record: StoreRecord, plan: api.Plan, snapshot: Snapshot, now: float) -> Store:
     store = Store(plan, record.number, now, now, 0.0)
     at = min(record.at, now)   # a clock that has stepped back must not fill twice
@@ -93,8 +98,7 @@
     if not snapshot.final:
         # It may have spent to the last moment before this one: its demand then is the best guess, and what
         # is not there cannot have been spent. The ceiling is a rule, so there nothing is left to a guess.
-        spent = min(own * gap, max(0.0, store.level))
-        store.level, store.fleet = store.level - spent, store.fleet - min(own * gap, max(0.0, store.fleet))
+        _spend(store, own * gap)
         store.guard = min(store.guard, 0.0)
     return store
 
@@ -134,9 +138,17 @@
 class Since:
     """What was charged after a state was handed over, by customer: told to the successor at the end."""
 
-    def __init__(self, gateway: Gateway) -> None:
-        self._gateway = gateway
+    def __init__(self, gateway: Gateway, now: float) -> None:
+        self._gateway, self._at = gateway, now
         self._before = {number: store.charged for number, store in gateway.stores.items()}
+        self._own = {number: store.own for number, store in gateway.stores.items()}
+
+    def doubt(self, now: float) -> None:
+        """The successor died with what it spent untold: as from a snapshot taken in passing, nothing is minted."""
+        for number, own in self._own.items():
+            if store := self._gateway.stores.get(number):
+                store.refresh(now)
+                _spend(store, own * max(0.0, now - self._at))
 
     def units(self) -> dict[int, float]:
         """By customer's number: units charged since, less what was settled below its charge."""
--- a/thymeflow/state/record.py
+++ b/thymeflow/state/record.py
@@ -4,18 +4,18 @@
     {...}
 
 Everything is checked before anything is used: the head, the length, the digest (BLAKE2b), then each value's
-type by msgspec. Whoever reads gets one `SnapshotError` with a line that says what is wrong and where.
+type (`typed`). Whoever reads gets one `SnapshotError` with a line that says what is wrong and where. The
+standard library is enough for it: the platform's run line hands its state over and imports nothing more.
 """
 
 from __future__ import annotations
 
 import hashlib
-from math import isfinite
-from typing import Any
-
-import msgspec
+import json
+from dataclasses import asdict, dataclass, field
 
 from thymeflow import interface as api
+from thymeflow.state.typed import BadValue, typed
 
 MAGIC = "thymeflow-snapshot"
 VERSION = 1
@@ -28,7 +28,8 @@
     """The snapshot is not used; the text says why in one line."""
 
 
-class StoreRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+@dataclass(frozen=True, slots=True)
+class StoreRecord:
     """A customer's store at one limiter. Amounts are units, times Unix seconds."""
 
     number: int
@@ -56,17 +57,20 @@
     unsure: float = 0.0
 
 
-class HealthRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+@dataclass(frozen=True, slots=True)
+class HealthRecord:
     """What was seen of one application server in its present life."""
 
     id: int
     started: float
     pace: float
     gap: float
-    failures: dict[str, tuple[int, float]] = {}   # by class: failures in a row, end of the ejection or 0
+    # By class: failures in a row, end of the ejection or 0.
+    failures: dict[str, tuple[int, float]] = field(default_factory=dict)
 
 
-class ServerRecord(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+@dataclass(frozen=True, slots=True)
+class ServerRecord:
     """An application server of the list."""
 
     id: int
@@ -80,7 +84,8 @@
     started: float
 
 
-class Snapshot(msgspec.Struct, frozen=True, forbid_unknown_fields=True):
+@dataclass(frozen=True, slots=True)
+class Snapshot:
     """All that a limiter remembers of one life."""
 
     site: str
@@ -99,39 +104,20 @@
     stores: tuple[StoreRecord, ...]
 
 
-_decoder = msgspec.json.Decoder(Snapshot)
-_encoder = msgspec.json.Encoder()
-
-
 def site_of(settings: api.Settings) -> str:
-    """What must be equal for a store to mean the same: plans and classes, not the size of the set."""
-    told = repr((settings.plans, settings.classes, settings.zone, settings.index))
+    """What must be equal for a store to mean the same: the plans and the place, not classes or the set's size."""
+    told = repr((settings.plans, settings.zone, settings.index))
     return hashlib.blake2b(told.encode(), digest_size=8).hexdigest()
 
 
 def pack(snapshot: Snapshot) -> bytes:
     """The file's bytes."""
-    body = _encoder.encode(snapshot)
+    body = json.dumps(asdict(snapshot), separators=(",", ":")).encode()
     digest = hashlib.blake2b(body, digest_size=16).hexdigest()
     head = f"{MAGIC} {VERSION} {snapshot.site} {snapshot.taken:.6f} {len(body)} {digest}\n"
     return head.encode() + body
 
 
-def _finite(value: Any, where: str) -> None:
-    if isinstance(value, float):
-        if not isfinite(value) or abs(value) > 1e15:
-            raise SnapshotError(f"{where} is {value}, which no amount can be")
-    elif isinstance(value, msgspec.Struct):
-        for name in value.__struct_fields__:
-            _finite(getattr(value, name), f"{where}.{name}")
-    elif isinstance(value, dict):
-        for key, item in value.items():
-            _finite(item, f"{where}[{key!r}]")
-    elif isinstance(value, tuple):
-        for place, item in enumerate(value):
-            _finite(item, f"{where}[{place}]")
-
-
 def unpack(data: bytes) -> Snapshot:
     """The snapshot in a file's bytes; SnapshotError where they are not whole and sound."""
     if len(data) > MOST_BYTES:
@@ -149,10 +135,9 @@
     if hashlib.blake2b(body, digest_size=16).hexdigest() != words[5]:
         raise SnapshotError("its checksum does not fit its content")
     try:
-        snapshot = _decoder.decode(body)
-    except (msgspec.DecodeError, RecursionError) as fault:
+        snapshot: Snapshot = typed(Snapshot, json.loads(body), "snapshot")
+    except (BadValue, ValueError, RecursionError) as fault:
         raise SnapshotError(f"a value is not of its type: {fault}") from None
-    _finite(snapshot, "snapshot")
     if words[2] != snapshot.site or words[3] != f"{snapshot.taken:.6f}":
         raise SnapshotError("its first line and its content differ")
     return snapshot
--- a/thymeflow/daemon/ask.py
+++ b/thymeflow/succession/ask.py
@@ -10,8 +10,8 @@
 from twisted.internet.protocol import ClientFactory
 from twisted.python.failure import Failure
 
-from thymeflow.daemon.control import Line, Message
 from thymeflow.net import clock
+from thymeflow.succession.control import Line, Message
 
 
 class Unanswered(Exception):
--- a/thymeflow/daemon/control.py
+++ b/thymeflow/succession/control.py
@@ -10,6 +10,7 @@
 import json
 import os
 import socket
+import struct
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
@@ -47,6 +48,11 @@
         self.descriptors: list[int] = []     # passed in, in order; whoever takes one owns it
         self.closed = False
 
+    def ours(self) -> bool:
+        """Whether the other end runs as the same user (SO_PEERCRED, unix(7))."""
+        told = self.transport.getHandle().getsockopt(socket.SOL_SOCKET, socket.SO_PEERCRED, struct.calcsize("3i"))
+        return bool(struct.unpack("3i", told)[1] == os.geteuid())
+
     def say(self, message: Message, *descriptors: int) -> None:
         """Write a message; the descriptors go with its first bytes."""
         if self.closed:
@@ -184,6 +190,10 @@
         with contextlib.suppress(FileNotFoundError):
             self._own.unlink()
         self._port = self._reactor.listenUNIX(str(self._own), self, mode=0o600)
+        self.point()
+
+    def point(self) -> None:
+        """Let the name point to our socket, in one step."""
         link = self._path.with_name(f".{self._path.name}.{os.getpid()}")
         with contextlib.suppress(FileNotFoundError):
             link.unlink()
--- /dev/null
+++ b/thymeflow/succession/estate.py
@@ -0,0 +1,59 @@
+"""What is handed over from one life of a limiter to the next, as both sides of a hand-over see it."""
+
+from __future__ import annotations
+
+import socket
+from typing import Protocol
+
+from thymeflow.net.assembly import Limiter
+from thymeflow.state.memory import Memory
+
+
+class Unfit(Exception):
+    """What was offered cannot be used; the text says why."""
+
+
+class Estate(Protocol):
+    """One limiter with what it needs to take over and to be taken over from: the daemon's, or the platform's run."""
+
+    life: str
+    limiter: Limiter
+
+    @property
+    def past(self) -> Memory:
+        """What is remembered of the limiter."""
+
+    @property
+    def patience(self) -> float:
+        """Seconds that a step of a hand-over may take."""
+
+    @property
+    def proof(self) -> float:
+        """Seconds for which the old one, once the new one accepts, stays to come back should that one die."""
+
+    @property
+    def strict(self) -> bool:
+        """Whether plans and place in the set have to be equal; else what fits of the state is taken."""
+
+    def descriptors(self) -> list[int]:
+        """What goes with the offer, the listening socket first."""
+
+    def take_in(self, descriptors: list[int]) -> socket.socket:
+        """The listening socket among what came with the offer; Unfit says why it cannot be used."""
+
+    def accept(self, listening: socket.socket) -> str:
+        """Accept from now on; the fault, or nothing."""
+
+    def resumed(self) -> None:
+        """The limiter is ours again."""
+
+    def give_up(self) -> None:
+        """Nothing was taken over, and nothing accepted yet."""
+
+    def retreat(self) -> None:
+        """The old one's line ended before it gave its last word, and we accept already."""
+
+
+def held(limiter: Limiter) -> int:
+    """How many descriptors a limiter holds, beside a few that every process has."""
+    return len(limiter.front.agents) + limiter.upstream.count
--- a/thymeflow/daemon/handover.py
+++ b/thymeflow/succession/table.py
@@ -3,9 +3,10 @@
     new  TAKE ->            old  offers the listening socket and the lock (descriptors)
     new  READY ->           old  stops accepting, tells its state
     new  TOOK ->            old  gives its word
-    new  SERVING ->         old  drains; at the end tells what it charged since the state
+    new  SERVING ->         old  sends its user agents away; drains once it is told to end, or the new one has proved
+                                 itself; at the end tells what it charged since the state
 
-Whatever breaks, hangs or dies before the old one has drained gives everything back: the old one accepts again.
+Whatever breaks, hangs or dies before the old one drains gives everything back: the old one accepts again.
 At no moment do both accept, and connections that come while neither does wait in the kernel's queue. What is
 not in a table is refused and changes nothing.
 """
@@ -22,6 +23,7 @@
     OFFERED = "offered"       # the other end has the descriptors and starts up; this one serves
     YIELDING = "yielding"     # it accepts nothing; the other end reads its state
     YIELDED = "yielded"       # the other end may accept
+    HANDED = "handed"         # the other end accepts; this one sends away, and would come back
     GIVEN = "given"           # it drains
 
 
@@ -43,6 +45,8 @@
     OFFER = "offer"
     YIELD = "yield"
     GRANT = "grant"
+    HAND = "hand"             # send user agents away, and say that the other end holds all
+    CONFIRM = "confirm"       # only say so
     DRAIN = "drain"
     RESUME = "resume"         # accept again
     FORGET = "forget"         # close the connection of the other end
@@ -60,10 +64,14 @@
     (Giver.YIELDING, Word.BROKEN): (Giver.WHOLE, (Act.RESUME,)),
     (Giver.YIELDING, Word.LATE): (Giver.WHOLE, (Act.FORGET, Act.RESUME)),
     (Giver.YIELDING, Word.ENDING): (Giver.WHOLE, (Act.FORGET, Act.RESUME)),
-    (Giver.YIELDED, Word.SERVING): (Giver.GIVEN, (Act.DRAIN,)),
+    (Giver.YIELDED, Word.SERVING): (Giver.HANDED, (Act.HAND,)),
     (Giver.YIELDED, Word.BROKEN): (Giver.WHOLE, (Act.RESUME,)),
     (Giver.YIELDED, Word.LATE): (Giver.WHOLE, (Act.FORGET, Act.RESUME)),
     (Giver.YIELDED, Word.ENDING): (Giver.GIVEN, ()),     # the other end accepts by now, or is about to
+    (Giver.HANDED, Word.BROKEN): (Giver.WHOLE, (Act.RESUME,)),    # the other end is dead: nobody else accepts
+    (Giver.HANDED, Word.LATE): (Giver.GIVEN, (Act.DRAIN,)),       # it has proved itself
+    (Giver.HANDED, Word.ENDING): (Giver.GIVEN, ()),
+    (Giver.GIVEN, Word.SERVING): (Giver.GIVEN, (Act.CONFIRM,)),   # it was told to end first: the word crossed
     (Giver.GIVEN, Word.BROKEN): (Giver.GIVEN, ()),
     (Giver.GIVEN, Word.LATE): (Giver.GIVEN, ()),
     (Giver.GIVEN, Word.ENDING): (Giver.GIVEN, ()),
