Test upgrades of run with every step going wrong, and mend an unusable folder

Seen by the tests: a TMPDIR that cannot be used ended the process, as Twisted's CannotListenError is no OSError (control.py, listen); it is a ControlError now, for the daemon too.

--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -128,6 +128,8 @@
         path.write_text(json.dumps(config))
         # A Unix socket's path is short, and pytest's folders are not.
         self.state, self.environment = Path(tempfile.mkdtemp(prefix="tf")), environment or {}
+        if managed:
+            self.environment.setdefault("TMPDIR", str(self.state))
         self.process = self.start(serve)
         self.manage = int(self.log("calls:").rsplit(":", 1)[1]) if managed else 0
         self.port = int(self.log("listening:").rsplit(":", 1)[1])
@@ -169,6 +171,11 @@
     def connect(self) -> Peer:
         return Peer(socket.create_connection(("127.0.0.1", self.port), PATIENCE))
 
+    def next(self) -> subprocess.Popen[str]:
+        """Another copy of the run line at the same address, as an upgrade starts it."""
+        self.path.write_text(json.dumps({**self.config, "listen": f"127.0.0.1:{self.port}"}))
+        return self.start(None)
+
     def operator(self) -> Peer:
         return Peer(socket.create_connection(("127.0.0.1", self.manage), PATIENCE))
 
--- a/thymeflow/succession/control.py
+++ b/thymeflow/succession/control.py
@@ -15,6 +15,7 @@
 from pathlib import Path
 from typing import Any
 
+from twisted.internet.error import CannotListenError
 from twisted.internet.interfaces import IFileDescriptorReceiver
 from twisted.internet.protocol import Factory, Protocol, connectionDone
 from twisted.python.failure import Failure
@@ -189,7 +190,10 @@
                 stale.unlink()
         with contextlib.suppress(FileNotFoundError):
             self._own.unlink()
-        self._port = self._reactor.listenUNIX(str(self._own), self, mode=0o600)
+        try:
+            self._port = self._reactor.listenUNIX(str(self._own), self, mode=0o600)
+        except CannotListenError as fault:      # no OSError, though it stands for one
+            raise ControlError(f"{self._own}: {fault.socketError}") from None
         self.point()
 
     def point(self) -> None:
--- a/thymeflow/succession/taking.py
+++ b/thymeflow/succession/taking.py
@@ -75,6 +75,7 @@
         elif self.state is Taker.FAILED:
             talk.close()      # it took too long to connect
         else:
+            log.note("hand-over", f"asked for, at {self._path}")
             talk.say({"do": "take", "life": self._estate.life, "pid": os.getpid(),
                       "site": record.site_of(self._estate.limiter.given.settings)})
 
