--- /dev/null
+++ b/tests/test_long.py
@@ -0,0 +1,284 @@
+"""Values too long to be held: in parts both ways, at the pace of whoever is slower, and broken in the middle."""
+
+from __future__ import annotations
+
+import contextlib
+import select
+import socket
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+import pytest
+from hypothesis import given
+from hypothesis import strategies as st
+
+from tests.helpers import ended, sends, started
+from tests.helpers import request as asked
+from tests.limiter import PATIENCE, Limiter, Peer, command, request
+from tests.test_limiter import GOOD, SMALL
+from thymeflow import interface as i
+from thymeflow.net import resp
+
+SIZE = 300_000
+VALUE = bytes(range(256)) * (SIZE // 256) + b"!" * (SIZE % 256)
+HEAD = b"*3\r\n$%d\r\n" % SIZE
+TAIL = b"\r\n$14\r\nused=37,cost=2\r\n$-1\r\n"
+
+
+@pytest.fixture
+def limiter(tmp_path: Path) -> Iterator[Limiter]:
+    with Limiter(tmp_path, managed=True) as made:
+        yield made
+
+
+def passed_on(limiter: Limiter, agent: Peer, number: int, cls: str = "look", body: bytes = b"B") -> Peer:
+    agent.send(request(number, cls, body=body))
+    server = limiter.servers[0].accept()
+    assert server.words()[2] == b"%016x" % number
+    return server
+
+
+def upload(number: int, wait: int = 20000) -> bytes:
+    """A request whose body is long, up to the body."""
+    text = request(number, "book", wait, body=b"")
+    assert text.endswith(b"$0\r\n\r\n")
+    return text.removesuffix(b"$0\r\n\r\n") + b"$%d\r\n" % SIZE
+
+
+def uploaded(server: Peer) -> list[bytes]:
+    """The words before the body, and the head of the body."""
+    assert server.line() == b"*5"
+    return [server.file.read(int(server.line()[1:]) + 2)[:-2] for _ in range(4)] + [server.line()]
+
+
+@given(st.lists(st.binary(max_size=20), min_size=0, max_size=3), st.integers(1, 40),
+       st.lists(st.binary(max_size=20), min_size=0, max_size=2), st.data())
+def test_however_the_bytes_are_cut_the_events_are_the_same(before: list[bytes], more: int, after: list[bytes],
+                                                           data: st.DataObject) -> None:
+    value = b"\r\n$" * ((resp.MOST_VALUE + more) // 3 + 1)
+    text = b"*%d\r\n" % (len(before) + 1 + len(after)) + b"".join(map(resp.bulk, [*before, value, *after]))
+    text += command(b"PING")
+    parser, found, place = resp.Parser(resp.MOST_LONG), list[resp.Event](), 0
+    while place < len(text):
+        step = data.draw(st.integers(1, 30) if place < 40 or place > len(text) - 99 else st.integers(2**14, 2**16))
+        events, fault = parser.feed(text[place:place + step])
+        assert not fault and parser.held() < 200
+        found, place = found + events, place + step
+    parts = [event.data for event in found if isinstance(event, resp.Part)]
+    assert b"".join(parts) == value
+    assert [event for event in found if not isinstance(event, resp.Part)] == [
+        resp.Begin(list(before), len(value), len(after)), resp.Closed(), resp.End(list(after)), [b"PING"]]
+    assert not parser.amid()
+
+
+def test_a_long_answer_is_passed_on_as_it_comes_and_its_connection_is_used_again(limiter: Limiter) -> None:
+    agent = limiter.connect()
+    server = passed_on(limiter, agent, 1)
+    server.send(HEAD + VALUE[:1000])
+    assert agent.line() == b"$%d" % SIZE and agent.file.read(1000) == VALUE[:1000]
+    server.send(VALUE[1000:])
+    assert agent.file.read(SIZE - 1000) == VALUE[1000:]
+    server.send(TAIL)
+    assert agent.file.read(2) == b"\r\n"
+    limiter.served(agent, 2, server)
+
+
+def test_the_deadline_ends_no_answer_that_has_begun(limiter: Limiter) -> None:
+    agent = limiter.connect()
+    agent.send(request(1, wait=300))
+    server = limiter.servers[0].accept()
+    server.words()
+    server.send(HEAD + VALUE[:1000])
+    assert agent.line() == b"$%d" % SIZE
+    agent.file.read(1000)
+    assert agent.silent(0.6)
+    server.send(VALUE[1000:] + TAIL)
+    assert agent.file.read(SIZE - 998) == VALUE[1000:] + b"\r\n"
+
+
+@pytest.mark.parametrize("rest", [b"", VALUE[:5000], VALUE + b"no end", VALUE[:-1] + b"\r\n"])
+def test_a_break_in_the_middle_closes_the_user_agents_connection(limiter: Limiter, rest: bytes) -> None:
+    agent = limiter.connect()
+    server = passed_on(limiter, agent, 1, "book")
+    server.send(HEAD + rest)
+    if len(rest) < SIZE:
+        server.close()
+    assert len(agent.file.read()) <= SIZE + len(HEAD)      # and then the end, with the value not closed
+    assert limiter.servers[0].quiet(0.1)                    # it may have run: no other pass
+    limiter.served(limiter.connect(), 2)
+
+
+def test_who_leaves_in_the_middle_frees_the_other_side(limiter: Limiter) -> None:
+    agent, sender = limiter.connect(), limiter.connect()
+    server = passed_on(limiter, agent, 1)
+    server.send(HEAD + VALUE[:1000])
+    agent.line()
+    agent.close()
+    assert server.ended()
+    sender.send(upload(2) + VALUE[:1000])
+    server = limiter.servers[0].accept()
+    assert uploaded(server)[2] == b"%016x" % 2
+    sender.close()
+    assert len(server.file.read()) == 1000
+
+
+def test_answers_behind_one_another_wait_for_their_turn(limiter: Limiter) -> None:
+    agent = limiter.connect()
+    agent.send(request(1) + request(2) + command(b"PING"))
+    peers = [limiter.servers[0].accept(), limiter.servers[0].accept()]
+    first, second = sorted(peers, key=lambda peer: peer.words()[2])
+    second.send(HEAD + VALUE + TAIL)
+    assert agent.silent(0.2)
+    first.send(HEAD + VALUE + TAIL)
+    assert [agent.bulk(), agent.bulk(), agent.line()] == [VALUE, VALUE, b"+PONG"]
+
+
+def test_a_slow_reader_holds_its_server_back_and_loses_nothing(limiter: Limiter) -> None:
+    agent, other, most = limiter.connect(), limiter.connect(), resp.MOST_LONG
+    agent.sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 1 << 16)
+    servers = [passed_on(limiter, agent, 1)]
+    server = servers[0]
+    text = b"*3\r\n$%d\r\n" % most + b"x" * most + b"\r\n$-1\r\n$-1\r\n"
+    sent = 0
+    server.sock.setblocking(False)
+    while sent < len(text) and select.select([], [server.sock], [], 0.5)[1]:
+        sent += server.sock.send(text[sent:sent + 65536])
+    limiter.served(other, 2)                      # nobody else waits for it
+    server.sock.settimeout(PATIENCE)
+    got, begun = 0, time.monotonic()
+    agent.sock.setblocking(True)
+    while got < most + len(b"$%d\r\n\r\n" % most):
+        if sent < len(text) and select.select([], [server.sock], [], 0.0)[1]:
+            sent += server.sock.send(text[sent:sent + 65536])
+        if select.select([agent.sock], [], [], 0.01)[0]:
+            got += len(agent.sock.recv(1 << 20))
+        assert time.monotonic() - begun < PATIENCE
+
+
+def test_a_long_body_goes_on_as_it_comes_and_its_time_starts_with_its_end(limiter: Limiter) -> None:
+    agent = limiter.connect()
+    agent.send(upload(1, 1500) + VALUE[:1000])
+    server = limiter.servers[0].accept()
+    verb, _, name, terms, head = uploaded(server)
+    assert (verb, name, head) == (b"SVC.SUBMIT", b"%016x" % 1, b"$%d" % SIZE) and b",d=1500," in terms
+    assert server.file.read(1000) == VALUE[:1000]
+    for _ in range(4):                            # for longer than it will wait, and never silent for long
+        assert agent.silent(0.5)
+        agent.send(b"x")
+    agent.send(VALUE[1004:] + b"\r\n" + command(b"PING"))
+    assert server.file.read(SIZE - 1000 + 2) == b"xxxx" + VALUE[1004:] + b"\r\n"
+    server.send(GOOD)
+    assert [agent.bulk(), agent.line()] == [b"value", b"+PONG"]
+    limiter.served(agent, 2, server)
+
+
+def test_a_refused_body_is_read_and_thrown_away_and_the_connection_stays_in_step(tmp_path: Path) -> None:
+    with Limiter(tmp_path, **{**SMALL, "caps": {"open-cap": 1, "dial-timeout": 20.0}}) as limiter:
+        busy, agent = limiter.connect(), limiter.connect()
+        server = passed_on(limiter, busy, 1)
+        for wrong in (b"c=book", b"c=none"):
+            agent.send(upload(2).replace(b"c=book", wrong) + VALUE[:1000])
+            assert agent.silent(0.1)              # the request has not come yet
+            agent.send(VALUE[1000:] + b"\r\n" + command(b"PING"))
+            assert agent.line()[:4] in (b"-BUS", b"-ERR") and agent.line() == b"+PONG"
+        server.send(GOOD)
+        assert busy.bulk() == b"value"
+
+
+@pytest.mark.parametrize("rest", [b"", VALUE + b"no end"])
+def test_a_body_that_stops_or_is_not_closed_is_one_error_line_and_a_close(limiter: Limiter, rest: bytes) -> None:
+    agent = limiter.connect()
+    agent.send(upload(1) + VALUE[:1000])
+    server = limiter.servers[0].accept()
+    uploaded(server)
+    if rest:
+        agent.send(rest[1000:])
+        assert server.file.read(SIZE) == VALUE
+    assert agent.line().startswith(b"-ERR Protocol error") and agent.ended()
+    with contextlib.suppress(ConnectionResetError):
+        assert len(server.file.read()) < SIZE     # never whole, so it never ran
+    limiter.served(limiter.connect(), 2)
+
+
+def test_until_a_body_is_on_its_way_another_server_may_have_it(tmp_path: Path) -> None:
+    with Limiter(tmp_path, servers=2) as limiter:
+        limiter.servers[0].sock.close()
+        for number in range(1, 5):                # some of them meet the server that is down first
+            agent = limiter.connect()
+            agent.send(upload(number) + VALUE + b"\r\n")
+            server = limiter.servers[1].accept()
+            assert uploaded(server)[2] == b"%016x" % number
+            assert server.file.read(SIZE + 2) == VALUE + b"\r\n"
+            server.send(b"-BUSY\r\n")
+            assert agent.line().startswith(b"-BUSY")
+            server.close()
+
+
+def test_a_server_that_refuses_early_ends_the_pass_and_the_rest_is_thrown_away(limiter: Limiter) -> None:
+    agent = limiter.connect()
+    agent.send(upload(1) + VALUE[:1000])
+    server = limiter.servers[0].accept()
+    uploaded(server)
+    server.send(b"-BUSY\r\n")
+    assert len(server.file.read()) == 1000        # closed: the rest of the body would be taken for a command
+    agent.send(VALUE[1000:] + b"\r\n")
+    assert agent.line().startswith(b"-BUSY")
+
+
+def test_a_stream_outlives_an_evacuation_and_a_drain(limiter: Limiter) -> None:
+    agent, sender = limiter.connect(), limiter.connect()
+    server = passed_on(limiter, agent, 1)
+    server.send(HEAD + VALUE[:1000])
+    sender.send(upload(2) + VALUE[:1000])
+    body = limiter.servers[0].accept()
+    assert limiter.call(b"evacuate\n").startswith(b"200 ")
+    uploaded(body)
+    assert agent.silent(0.0) or agent.line()
+    time_over = sender.silent(0.7)
+    limiter.terminate()
+    assert time_over and sender.silent(0.3)
+    sender.send(VALUE[1000:] + b"\r\n")
+    body.file.read(SIZE + 2)
+    body.send(GOOD)
+    assert sender.bulk() == b"value" and sender.ended()
+    server.send(VALUE[1000:] + TAIL)
+    assert agent.file.read().endswith(VALUE[-100:] + b"\r\n")
+    assert limiter.process.wait(PATIENCE) == 0
+
+
+def test_a_head_in_pieces_has_its_time_also_on_a_connection_that_is_old(limiter: Limiter) -> None:
+    agent, text = limiter.connect(), request(2)
+    server = limiter.served(agent, 1)
+    assert agent.silent(2.0)
+    for place in range(0, len(text), 30):         # 1 s in all, long after the last answer
+        agent.send(text[place:place + 30])
+        time.sleep(0.1)
+    server.words()
+    server.send(GOOD)
+    assert agent.bulk() == b"value"
+
+
+def test_an_answer_that_has_begun_crowds_nobody_and_ends_its_request_once() -> None:
+    gateway = started()
+    for number in range(200):                     # two hundred readers that take their time
+        sent = sends(gateway.handle(0.1 + number, asked(f"r{number}")))
+        gateway.handle(0.2 + number, i.ResponseStarted(f"r{number}", 0, sent[0].backend, 0.1))
+    assert gateway.out == 0 and len(gateway.jobs) == 200
+    for number in range(200):
+        gateway.handle(300.0, ended(f"r{number}", i.Send(f"r{number}", 1), i.Status.OK if number % 2 else
+                                    i.Status.CANCELLED))
+    assert (gateway.out, {server.out for server in gateway.servers.values()}) == (0, {0})
+    gateway.handle(300.1, i.ClientLeft("r0"))
+    assert all(job.done for job in gateway.jobs.values())
+
+
+def test_a_body_that_is_on_its_way_allows_no_other_attempt() -> None:
+    gateway = started()
+    (first,) = sends(gateway.handle(0.1, asked("a", class_name="book")))
+    (again,) = sends(gateway.handle(0.2, ended("a", first, i.Status.CONNECT_FAILED)))
+    gateway.handle(0.3, i.BodyBegun("a"))
+    assert not sends(gateway.handle(5.0, i.TimerFired(2))), "its time starts with its last byte"
+    answers = gateway.handle(9.0, ended("a", again, i.Status.FULL, 1))
+    (answer,) = [a for a in answers if isinstance(a, i.Refuse | i.Send)]
+    assert isinstance(answer, i.Refuse)
--- a/thymeflow/interface.py
+++ b/thymeflow/interface.py
@@ -303,6 +303,13 @@
     latency: float = 0.0
 
 
+@dataclass(frozen=True, slots=True)
+class BodyBegun:
+    """A body too long to be kept goes into the present attempt: no other one can be made."""
+
+    id: str
+
+
 @dataclass(frozen=True, slots=True)
 class AttemptEnded:
     """The outcome of one attempt. `used` is the metered use over the quota (1.0 is all of it)."""
@@ -367,7 +374,7 @@
     settings: Settings
 
 
-Event = Union[Membership, Request, ResponseStarted, AttemptEnded, ClientLeft, TimerFired, ProbeEnded,
+Event = Union[Membership, Request, ResponseStarted, BodyBegun, AttemptEnded, ClientLeft, TimerFired, ProbeEnded,
               PeerMessage, CounterReply, Resettled]
 
 
--- a/thymeflow/job.py
+++ b/thymeflow/job.py
@@ -26,6 +26,7 @@
     ended: dict[int, api.Status] = field(default_factory=dict)            # how those ended that have
     done: bool = False
     streaming: bool = False
+    begun: bool = False          # its answer has begun
 
     def ran(self) -> list[tuple[ServerT, float]]:
         """Attempts that may have run or may yet."""
--- a/thymeflow/lab/standins/agents.py
+++ b/thymeflow/lab/standins/agents.py
@@ -84,7 +84,7 @@
         for value in found:
             self._answer(value)
 
-    def _answer(self, value: resp.Value) -> None:
+    def _answer(self, value: resp.Event) -> None:
         result, self.result = self.result, None
         if result is None:
             if self.last is not None:      # bytes that nobody asked for: a second answer to the last one
@@ -197,7 +197,7 @@
         """A connection has nothing open."""
         self._idle.setdefault(connection.limiter, []).append(connection)
 
-    def answered(self, result: Result, value: resp.Value) -> None:
+    def answered(self, result: Result, value: resp.Event) -> None:
         """A whole answer has come."""
         result.answers += 1
         if result.verdict:
--- a/thymeflow/lab/standins/counter.py
+++ b/thymeflow/lab/standins/counter.py
@@ -20,7 +20,7 @@
 
     def __init__(self, counter: Counter) -> None:
         self._counter, self._parser = counter, resp.Parser()
-        self.calls: deque[resp.Value] = deque()
+        self.calls: deque[resp.Event] = deque()
 
     def connectionMade(self) -> None:
         self._counter.connections.append(self)
@@ -105,7 +105,7 @@
         connection.transport.write(self._answer(words, now))
         return True
 
-    def _answer(self, words: resp.Value, now: float) -> bytes:
+    def _answer(self, words: resp.Event, now: float) -> bytes:
         match words:
             case [b"PING"]:
                 return b"+PONG\r\n"
--- a/thymeflow/lab/standins/server.py
+++ b/thymeflow/lab/standins/server.py
@@ -74,7 +74,7 @@
         if fault:
             self.transport.abortConnection()
 
-    def _call(self, words: resp.Value) -> None:
+    def _call(self, words: resp.Event) -> None:
         if not isinstance(words, list) or len(words) < 4 or words[0] not in VERBS:
             self._put(b"+OK\r\n" if isinstance(words, list) and words[:1] in ([b"CLIENT"], [b"SELECT"])
                       else b"-ERR unknown\r\n")
--- a/thymeflow/net/call.py
+++ b/thymeflow/net/call.py
@@ -11,6 +11,7 @@
 
 from thymeflow import interface as api
 from thymeflow.net import resp
+from thymeflow.net.flow import Flow
 
 QUERY, SUBMIT = b"SVC.QUERY", b"SVC.SUBMIT"
 MOST_CUSTOMERS = 1 << 33   # numbers of customers are under this
@@ -33,10 +34,14 @@
     before: bytes   # the list up to the value of d, and from there on
     after: bytes
     body: bytes | None
+    wait: int = 0               # ms that its sender waits from the last byte on
+    flow: Flow | None = None    # a long body, in place of one that is held
 
     def write(self, wait: int) -> bytes:
         """The command for an application server; `wait` is how long we will wait, in milliseconds."""
         terms = b"%b%d%b" % (self.before, wait, self.after)
+        if self.flow is not None:
+            return resp.command_head(self.flow.length, self.verb, self.customer, self.id, terms)
         if self.body is None:
             return resp.command(self.verb, self.customer, self.id, terms)
         return resp.command(self.verb, self.customer, self.id, terms, self.body)
@@ -85,7 +90,7 @@
                               spread, first, terms.get(b"r") == b"1", verb == SUBMIT)
         start = 2 if text.startswith(b"d=") else text.index(b",d=") + 3
         call = Call(verb, customer, name, text[:start], text[start + len(terms[b"d"]):],
-                    words[4] if verb == SUBMIT else None)
+                    words[4] if verb == SUBMIT else None, max(1, int(wait)))
         return call, request
 
     @staticmethod
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -12,6 +12,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 from enum import Enum
+from math import inf
 from typing import Protocol
 
 from twisted.internet.defer import Deferred
@@ -19,6 +20,7 @@
 from thymeflow import Gateway
 from thymeflow import interface as api
 from thymeflow.net import clock, log
+from thymeflow.net.flow import Flow
 from thymeflow.net.table import Table
 from thymeflow.net.tally import Tally
 
@@ -35,16 +37,23 @@
 
 @dataclass(frozen=True, slots=True)
 class Answer:
-    """The one final answer; `value` when served, `wait` in seconds when unavailable (0: no advice)."""
+    """The one final answer; `value` when served, `wait` in seconds when unavailable (0: no advice).
+
+    A long value is served from its first bytes on: `flow` brings it, in place of `value`.
+    """
 
     verdict: Verdict
     value: bytes = b""
     wait: float = 0.0
+    flow: Flow | None = None
 
 
 @dataclass(frozen=True, slots=True)
 class Offer:
-    """A transaction as a front hands it in; `payload` is what the upstream will know how to pass on."""
+    """A transaction as a front hands it in; `payload` is what the upstream will know how to pass on.
+
+    One whose body still comes has no deadline (inf) until `Core.whole` is told.
+    """
 
     request: api.Request
     deadline: float
@@ -54,11 +63,13 @@
 
 @dataclass(frozen=True, slots=True)
 class Order:
-    """A proxy pass for the upstream to make."""
+    """A proxy pass for the upstream to make; `began` takes a long answer, or says that nobody wants it."""
 
     backend: int
     payload: object
     deadline: float
+    began: Callable[[Flow], bool] = lambda flow: False
+    bound: Callable[[], None] = lambda: None    # a long body goes into this pass, and into no other
 
 
 @dataclass(frozen=True, slots=True)
@@ -95,7 +106,8 @@
 class Transaction:
     """What was taken on, until it is answered and its last proxy pass has ended."""
 
-    __slots__ = ("answered", "deadline", "due", "id", "most", "offer", "out", "passes", "settled")
+    __slots__ = ("answered", "began", "deadline", "due", "guard", "id", "most", "offer", "out", "passes", "settled",
+                 "since")
 
     def __init__(self, offer: Offer, due: Deferred[Answer], most: int) -> None:
         self.most = most                                # proxy passes, as the settings had it when it was taken
@@ -103,6 +115,9 @@
         self.passes = 0                                 # proxy passes so far, and so the next one's number
         self.out: dict[int, Deferred[Outcome]] = {}     # those not ended
         self.answered, self.settled = False, False      # final answer given; true units told
+        self.guard: clock.Entry = []
+        self.since = 0.0                                # when the body had come whole, where it is a long one
+        self.began = -1.0                               # s: to the first bytes of a long answer
 
 
 class Core:
@@ -155,14 +170,26 @@
         handle = self._table.add(transaction)
         self._by_id[transaction.id] = handle
         self._held += offer.size
-        transaction_end = offer.deadline + self._settings.rules.answer_slack
-        guard = self._deadlines.at(transaction_end, self._overdue, handle)
-        due.addBoth(self._spent, guard)
+        if offer.deadline < inf:
+            self._guard(handle, transaction)
+        due.addBoth(self._spent, transaction)
         self.tell(offer.request)
         return due
 
-    def _spent(self, result: Answer, guard: clock.Entry) -> Answer:
-        self._deadlines.cancel(guard)
+    def _guard(self, handle: int, transaction: Transaction) -> None:
+        end = transaction.deadline + self._settings.rules.answer_slack
+        transaction.guard = self._deadlines.at(end, self._overdue, handle)
+
+    def whole(self, request: str, deadline: float) -> None:
+        """The long body of a transaction has come whole: its time starts now."""
+        transaction = self._find(request)
+        if transaction is not None and not transaction.answered:
+            transaction.deadline, transaction.since = deadline, clock.now()
+            self._guard(self._by_id[request], transaction)
+
+    def _spent(self, result: Answer, transaction: Transaction) -> Answer:
+        if transaction.guard:
+            self._deadlines.cancel(transaction.guard)
         return result
 
     def tell(self, event: api.Event) -> None:
@@ -247,16 +274,28 @@
         moot = (transaction.answered or number >= transaction.most
                 or now >= transaction.deadline)
         deadline = transaction.deadline
-        if action.timeout:
+        if action.timeout and deadline < inf:
             deadline = min(deadline, now + max(0.0, action.timeout))
         if moot:
             self._ended(Outcome(api.Status.MOOT), transaction, number, action.backend, now)
             return
-        going = self.upstream.begin(Order(action.backend, transaction.offer.payload, deadline))
+        going = self.upstream.begin(Order(
+            action.backend, transaction.offer.payload, deadline,
+            lambda flow: self._began(transaction, number, action.backend, now, flow),
+            lambda: self.tell(api.BodyBegun(transaction.id))))
         transaction.out[number] = going
         going.addCallback(self._ended, transaction, number, action.backend, now)
         going.addErrback(self._broken)
 
+    def _began(self, transaction: Transaction, number: int, backend: int, begun: float, flow: Flow) -> bool:
+        # From its first bytes on a long answer is the user agent's: no other pass, and no deadline.
+        if transaction.answered:
+            return False
+        transaction.began = clock.now() - max(begun, transaction.since)
+        self._answer(transaction, Answer(Verdict.SERVED, flow=flow))
+        self.tell(api.ResponseStarted(transaction.id, number, backend, transaction.began))
+        return True
+
     def _broken(self, failure: object) -> None:
         logging.getLogger("thymeflow").error("proxy pass fault: %s", failure)
 
@@ -270,8 +309,10 @@
             transaction.settled, units = True, outcome.units
         if good and not transaction.answered:
             self._answer(transaction, Answer(Verdict.SERVED, outcome.value))
-        self.tell(api.AttemptEnded(transaction.id, number, backend, outcome.status, clock.now() - begun,
-                                   transaction.answered, outcome.used, units, outcome.load))
+        # How long a user agent takes to send or to read says nothing of the application server.
+        took = clock.now() - max(begun, transaction.since) if transaction.began < 0.0 else transaction.began
+        self.tell(api.AttemptEnded(transaction.id, number, backend, outcome.status, took, transaction.answered,
+                                   outcome.used, units, outcome.load))
         self._drop(transaction)
 
     def _finish(self, request: str, answer: Answer) -> None:
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -9,6 +9,8 @@
 import contextlib
 import socket
 from collections import deque
+from dataclasses import replace
+from math import inf
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -19,14 +21,17 @@
 from thymeflow.net import clock, log, resp
 from thymeflow.net.call import QUERY, SUBMIT, CallError, Reader
 from thymeflow.net.core import Answer, Core, Offer, Verdict
+from thymeflow.net.flow import Flow
 from thymeflow.net.link import Stream, unread
 from thymeflow.net.table import Table
 
+STUCK = 10.0           # s: without a byte taken of what was written, for a user agent that reads slowly
+SLOW_BODY = 4          # number of a command's word that may come slowly, in pieces; the others are its head
 MOST_PLACES = 64       # commands of one user agent that are not answered; then it is not read from
 OVERHEAD = 2048        # bytes that a request takes beside its own
 ATTENTION = (b"CLIENT", b"SELECT")
 SWEEP = 0.1            # s: between looks at who says nothing
-SILENT = 2.3           # s: from connecting to the first whole command, or from the rest of one to its end
+SILENT = 2.3           # s: to the first whole command, for the head of one, and without a byte of a body
 KEPT = 4.0             # s: with nothing open, for a user agent that has asked; it would come again
 IDLE = 2.0             # s: the same where places are wanted; before, it may be about to ask
 NEW = 0.05             # s: the same for one that has said nothing, as usual ones ask as they connect
@@ -40,17 +45,21 @@
 class Place:
     """A command's place in the order of answers."""
 
-    __slots__ = ("answer", "due")
+    __slots__ = ("answer", "body", "due", "flow", "request", "started")
 
-    def __init__(self, answer: bytes | None = None) -> None:
-        self.answer = answer
+    def __init__(self, answer: bytes | None = None, request: api.Request | None = None,
+                 body: Flow | None = None) -> None:
+        self.answer, self.request = answer, request
         self.due: Deferred[Answer] | None = None
+        self.body = body                    # a long one that has not come whole: the answer waits for its end
+        self.flow: Flow | None = None       # a long answer, whose head `answer` is
+        self.started = False                # that head has been written
 
 
 def written(answer: Answer) -> bytes:
     """A final answer as RESP2; advice is in whole milliseconds, rounded up."""
     if answer.verdict is Verdict.SERVED:
-        return resp.bulk(answer.value)
+        return resp.bulk(answer.value) if answer.flow is None else resp.bulk_head(answer.flow.length)
     if answer.verdict is Verdict.FAILED:
         return b"-ERR failed\r\n"
     return b"-BUSY %d\r\n" % -int(-answer.wait * 1000.0 // 1) if answer.wait > 0.0 else b"-BUSY\r\n"
@@ -60,7 +69,11 @@
     """One connection."""
 
     def __init__(self, front: Front) -> None:
-        self._front, self._parser = front, resp.Parser()
+        self._front, self._parser = front, resp.Parser(resp.MOST_LONG)
+        self._begun = 0.0           # when the command that is not whole began
+        self._moved = 0.0           # when bytes came or left last
+        self._body: Place | None = None     # whose long body is on its way
+        self._blocked = False       # it finds no room
         self._places: deque[Place] = deque()
         self.handle = -1
         self._reading = True        # what we told the transport
@@ -77,12 +90,16 @@
     def connectionMade(self) -> None:
         """Take a slot."""
         self.handle, self._since = self._front.agents.add(self), clock.now()
+        self._moved = self._since
         super().connectionMade()
 
     def resumeProducing(self) -> None:
         """It takes its answers."""
         super().resumeProducing()
+        self._moved = clock.now()
         self._taken()
+        if self._places and self._places[0].started and self._places[0].flow is not None:
+            self._places[0].flow.more()
         self._flush()
 
     def _hold(self, change: int) -> None:
@@ -95,7 +112,10 @@
 
     def _pace(self) -> None:
         # From a user agent that does not take its answers, nothing more is taken.
-        wanted = self.flushed and not self._last and len(self._places) < MOST_PLACES
+        if self._body is not None:      # also where nothing more is taken on
+            wanted = not self._blocked
+        else:
+            wanted = self.flushed and not self._last and len(self._places) < MOST_PLACES
         wanted = wanted or (self._ended and self._discarded < DISCARD)
         if wanted != self._reading:
             self._reading = wanted
@@ -106,34 +126,84 @@
 
     def dataReceived(self, data: bytes) -> None:
         """Begin each command as it is whole; the answers wait for their turn."""
-        if self._last:
+        if self._last and self._body is None:
             self._discarded += len(data)
             self._pace()
             return
-        before = self._parser.held()
+        before, amid = self._parser.held(), self._parser.amid()
         found, fault = self._parser.feed(data)
-        if found:
-            self._spoken, self._since = True, clock.now()
+        self._moved = clock.now()
+        if found or not amid:
+            self._begun = self._moved
         for value in found:
-            if self._last:
+            if isinstance(value, resp.Part | resp.Closed | resp.End):
+                self._more(value)
+            elif self._last:
                 return
-            if isinstance(value, list) and all(type(word) is bytes for word in value):
+            elif isinstance(value, resp.Begin):
+                self._long(value)
+            elif isinstance(value, list) and all(type(word) is bytes for word in value):
+                self._spoken, self._since = True, self._moved
                 if value:
                     self._command(value)   # type: ignore[arg-type]
             else:
                 fault = "a command is an array of bulk strings"
                 break
         self._front.taken_in(self._parser.held() - before)
-        if fault and not self._last:
+        if fault and (not self._last or self._body is not None):
             self._garbled(fault)
         self._flush()
         if self._front.emptying and (self._asked or self._front.closing):
             self.finish()
 
+    def _long(self, begin: resp.Begin) -> None:
+        # A command with a long body: it is taken on by its head, and answered once the body has come.
+        self._spoken = True
+        self.narrow()
+        words, flow = begin.before, Flow(begin.length, self._block, lambda: None)
+        if all(type(word) is bytes for word in words) and len(words) == SLOW_BODY and not begin.after:
+            self._transaction([*words, b""], flow)   # type: ignore[list-item]
+        else:
+            self._say(resp.problem("ERR a value is too long for this command"))
+        self._body = self._places[-1]
+        self._body.body = flow
+        if self._body.answer is not None:
+            flow.discard()
+
+    def _more(self, event: resp.Part | resp.Closed | resp.End) -> None:
+        place = self._body
+        if place is None or place.body is None:
+            return
+        if isinstance(event, resp.Part):
+            place.body.push(event.data)
+        elif isinstance(event, resp.Closed):
+            body, self._body, place.body, self._blocked = place.body, None, None, False
+            if place.request is not None:
+                body.deadline = clock.now() + place.request.remaining
+                self._front.core.whole(place.request.id, body.deadline)
+            self._since = self._moved
+            body.finish()
+
+    def _block(self, waits: bool) -> None:
+        self._blocked = waits and self._body is not None
+        self._moved = clock.now()
+        self._pace()
+
+    def _drop_body(self) -> None:
+        # It stops in the middle: whoever passes it on must not wait for the rest.
+        place, self._body, self._blocked = self._body, None, False
+        if place is not None and place.body is not None:
+            body, place.body = place.body, None
+            if place.due is not None and place.answer is None:
+                place.due.cancel()
+                place.answer = b""
+            body.fail()
+
     def _garbled(self, fault: str) -> None:
         # Where the next command begins is not known any more: one line, then the end.
         log.say("user agent garbled", fault)
         self._lingers = True
+        self._drop_body()
         self._front.taken_in(-self._parser.held())
         self._parser = resp.Parser()
         self._say(resp.problem(f"ERR Protocol error: {fault}"))
@@ -147,6 +217,10 @@
         """Whether it has connected a moment ago and said nothing yet."""
         return not self._spoken and now - self._since < FRESH
 
+    def amid(self) -> bool:
+        """Whether part of a command has come."""
+        return self._parser.amid()
+
     def begun(self) -> tuple[bool, int]:
         """Whether nothing else is open, and the bytes held of a command that is not whole."""
         return not self._places, self._parser.held()
@@ -166,12 +240,16 @@
         if self._front.emptying and idle > FRESH:
             kept = 0.0              # who asks nothing at once is sent away, and who says PING often stays
         if self._ended or not self.flushed:
-            if idle > (LINGER if self._ended else KEPT):
+            if idle > LINGER if self._ended else now - self._moved > STUCK:
                 self.transport.abortConnection()
+        elif self._body is not None:
+            if not self._blocked and now - self._moved > SILENT:
+                self._garbled("a value was begun and not ended")
         elif self._last:
             return
-        elif self._parser.held():
-            if idle > SILENT:
+        elif self._parser.amid():
+            head = self._parser.item != SLOW_BODY     # a body may take its time, but not stand still
+            if now - (self._begun if head else self._moved) > SILENT:
                 self._garbled("a command was begun and not ended")
         elif idle > (kept if self._asked else min(kept, SILENT)) and not unread(self.transport):
             self.finish()
@@ -200,7 +278,7 @@
         else:
             self._say(resp.problem(f"ERR unknown command '{name[:32].decode('ascii', 'replace')}'"))
 
-    def _transaction(self, words: list[bytes]) -> None:
+    def _transaction(self, words: list[bytes], body: Flow | None = None) -> None:
         core = self._front.core
         try:
             call, request = self._front.reader.read(words)
@@ -210,17 +288,22 @@
             log.say("user agent wrong", str(fault))
             self._say(resp.problem(f"ERR {fault}"))
             return
-        place, self._asked = Place(), True
+        place, self._asked = Place(None, request, body), True
         self._places.append(place)
+        if body is not None:
+            call = replace(call, flow=body)
         size = OVERHEAD + len(call.before) + len(call.after) + len(call.body or b"")
-        place.due = core.take(Offer(request, clock.now() + request.remaining, call, size))
+        deadline = clock.now() + request.remaining if body is None else inf
+        place.due = core.take(Offer(request, deadline, call, size))
         place.due.addCallbacks(self._answered, lambda _: None, callbackArgs=(place,))
 
     def _say(self, line: bytes) -> None:
         self._places.append(Place(line))
 
     def _answered(self, answer: Answer, place: Place) -> None:
-        place.answer = written(answer)
+        place.answer, place.flow = written(answer), answer.flow
+        if place.body is not None and answer.flow is None:
+            place.body.discard()
         self._hold(len(place.answer))
         if self._places and self._places[0] is place:
             self._flush()
@@ -233,19 +316,53 @@
 
     def _flush(self) -> None:
         ready: list[bytes] = []
-        while self._places and self._places[0].answer is not None:
-            ready.append(self._places.popleft().answer or b"")
+        long: Flow | None = None
+        while self._places and (place := self._places[0]).answer is not None and place.body is None:
+            if place.started:
+                break
+            ready.append(place.answer or b"")
+            if place.flow is not None:
+                place.started, long = True, place.flow
+                self.narrow()
+                break
+            self._places.popleft()
         if ready:
+            self._moved = clock.now()
             self.write(b"".join(ready))
             if self.flushed:
                 self._taken()
             if not self._places:
-                self._since = clock.now()
-        if self._last and not self._places and not self._ended:
+                self._since = self._moved
+        if long is not None:
+            long.attach(self)      # may write it to its end, and come back here
+        elif self._last and not self._places and not self._ended:
             self._end()
         else:
             self._pace()
 
+    # A long answer on its way: see `flow.Sink`.
+
+    def part(self, data: bytes) -> None:
+        """The next bytes."""
+        self._moved = clock.now()
+        self.write(data)
+
+    def end(self) -> None:
+        """It has been passed on whole; the next in line."""
+        self.write(b"\r\n")
+        self._places.popleft()
+        self._since = clock.now()
+        self._flush()
+
+    def broken(self) -> None:
+        """The rest will not come: a close tells the user agent that the value is not whole."""
+        log.say("cut short", "a long answer broke off on its way; the user agent's connection was closed")
+        self._places.popleft()
+        self._last = self._ended = True
+        self._since = clock.now()
+        self.transport.unregisterProducer()
+        self.transport.loseConnection()
+
     def _end(self) -> None:
         if not self._lingers:
             self.transport.unregisterProducer()
@@ -267,6 +384,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:
         """The user agent has left; none of its requests is owed an answer any more."""
         self._last = True
+        self._drop_body()
         places, self._places = self._places, deque()
         self._hold(-self._held)
         self._front.taken_in(-self._parser.held())
@@ -276,6 +394,8 @@
         for place in places:
             if place.due is not None and place.answer is None:
                 place.due.cancel()
+            elif place.flow is not None:
+                place.flow.abandon()
         self._front.gone()
 
 
@@ -361,5 +481,6 @@
 
     @staticmethod
     def _finish(agent: UserAgent) -> None:
-        if not unread(agent.transport):   # what has come is read first, and answered before the end
+        # What has come is read first, and answered before the end.
+        if not agent.amid() and not unread(agent.transport):
             agent.finish()
--- a/thymeflow/net/link.py
+++ b/thymeflow/net/link.py
@@ -23,6 +23,7 @@
 from thymeflow.net import resp
 from thymeflow.net.clock import Deadlines
 from thymeflow.net.config import Address
+from thymeflow.net.flow import CHUNK
 
 
 def unread(transport: Any) -> bool:
@@ -59,6 +60,15 @@
     def stopProducing(self) -> None:
         """The transport will write no more; `connectionLost` says the rest."""
 
+    def narrow(self) -> None:
+        """Hold little on the way, here and in the kernel: a long value's sender goes at its reader's pace.
+
+        Where the kernel takes megabytes at once, a reader that moves slowly looks like one that does not move.
+        """
+        self.transport.bufferSize = CHUNK
+        with contextlib.suppress(OSError):
+            self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * CHUNK)
+
     def write(self, data: bytes) -> None:
         """Write behind what was written."""
         if self.flushed:
@@ -79,8 +89,8 @@
 
     closed = False   # ended, or given up by us
 
-    def __init__(self) -> None:
-        self._parser = resp.Parser()
+    def __init__(self, longest: int = resp.MOST_VALUE) -> None:
+        self._parser = resp.Parser(longest)
 
     def dataReceived(self, data: bytes) -> None:
         """Cut what came into messages."""
@@ -88,6 +98,7 @@
         for value in found:
             if self.closed:
                 return
+            assert not isinstance(value, resp.Begin | resp.Part | resp.Closed | resp.End)   # none was asked for
             self.message(value)
         if fault and not self.closed:
             self.garbled(fault)
--- a/thymeflow/net/resp.py
+++ b/thymeflow/net/resp.py
@@ -1,14 +1,18 @@
 """RESP2 without I/O: an incremental parser with firm bounds, and writers of the few forms we send.
 
 Whoever is at the other end may be broken or hostile, so a message that would not fit the bounds is
-refused as soon as its head shows it, and no more than one message is ever held back incomplete.
+refused as soon as its head shows it, and no more than one message is ever held back incomplete. A value too
+long to be held, in an array, comes as events instead: `Begin`, `Part` as often as bytes come, `Closed` behind the
+value, and `End` with what follows it in the array.
 """
 
 from __future__ import annotations
 
+from dataclasses import dataclass
 from typing import Union
 
-MOST_VALUE = 64 * 1024         # bytes of one bulk string, as the protocol has it
+MOST_VALUE = 64 * 1024         # bytes of one bulk string that is held whole
+MOST_LONG = 4 * 2**20          # bytes of one that passes through in parts, as the days in service have it
 MOST_MESSAGE = MOST_VALUE + 8 * 1024   # bytes of one message: a value and its small companions
 MOST_ITEMS = 32                # items of one array; the longest that anybody sends has five
 MOST_LINE = 1024               # bytes of a simple string, an error or a length
@@ -29,8 +33,49 @@
 Value = Union[bytes, int, None, list["Value"]]
 
 
+@dataclass(frozen=True, slots=True)
+class Begin:
+    """A long value begins; what stands before it in the array, and how many items will follow it."""
+
+    before: list[Value]
+    length: int
+    after: int
+
+
+@dataclass(frozen=True, slots=True)
+class Part:
+    """Its next bytes."""
+
+    data: bytes
+
+
+@dataclass(frozen=True, slots=True)
+class Closed:
+    """It has come whole, and was closed as it should be."""
+
+
+@dataclass(frozen=True, slots=True)
+class End:
+    """The array has come whole; the items behind the long value."""
+
+    after: list[Value]
+
+
+Event = Union[Value, Begin, Part, Closed, End]
+
+
 class _Incomplete(Exception):
-    """The message goes on in bytes that have not come."""
+    """The message goes on in bytes that have not come; `item`: within which bulk string of an array, or -1."""
+
+    item = -1
+
+
+class _Long(Exception):
+    """A long value begins at `place`."""
+
+    def __init__(self, length: int, place: int) -> None:
+        super().__init__()
+        self.begin, self.place = Begin([], length, 0), place
 
 
 def _number(text: bytes) -> int:
@@ -44,33 +89,51 @@
 class Parser:
     """Cuts a stream of bytes into messages."""
 
-    def __init__(self) -> None:
+    def __init__(self, longest: int = MOST_VALUE) -> None:
         self._held = bytearray()
+        self._longest = longest
+        self._left = -1              # bytes of a long value that are still to come; -1: none is on its way
+        self._after: list[Value] = []
+        self._missing = -1           # items that follow the long value and have not come; -1: none is on its way
+        self.item = -1               # of an array that is not whole: the bulk string that bytes are awaited for
 
     def held(self) -> int:
         """Bytes of a message that has begun and is not whole."""
         return len(self._held)
 
-    def feed(self, data: bytes) -> tuple[list[Value], str]:
-        """The messages that these bytes complete, and the fault behind them at which the framing is lost."""
-        found: list[Value] = []
+    def amid(self) -> bool:
+        """Whether a message has begun and is not whole."""
+        return bool(self._held) or self._left >= 0 or self._missing >= 0
+
+    def feed(self, data: bytes) -> tuple[list[Event], str]:
+        """What these bytes complete, and the fault behind it at which the framing is lost."""
+        found: list[Event] = []
         try:
             self._cut(data, found)
         except ProtocolError as fault:
             return found, str(fault)
         return found, ""
 
-    def _cut(self, data: bytes, found: list[Value]) -> None:
+    def _cut(self, data: bytes, found: list[Event]) -> None:
         source: bytes | bytearray = data
         if self._held:
             self._held += data
             source = self._held
         place, end = 0, len(source)
+        self.item = -1
         try:
             while place < end:
-                value, place = self._value(source, place, 0)
-                found.append(value)
-        except _Incomplete:
+                if self._left >= 0 or self._missing >= 0:
+                    place = self._long(source, place, found)
+                    continue
+                try:
+                    value, place = self._value(source, place, 0)
+                    found.append(value)
+                except _Long as long:
+                    found.append(long.begin)
+                    place, self._left, self._missing = long.place, long.begin.length, long.begin.after
+        except _Incomplete as missing:
+            self.item = missing.item
             if end - place > MOST_MESSAGE:
                 raise ProtocolError("message too long") from None
         if source is data:
@@ -78,6 +141,32 @@
         else:
             del self._held[:place]
 
+    def _long(self, source: bytes | bytearray, place: int, found: list[Event]) -> int:
+        # One step of a message with a long value: bytes of the value, its end, or an item behind it.
+        if self._left > 0:
+            data = bytes(source[place:place + self._left])
+            self._left -= len(data)
+            found.append(Part(data))
+            return place + len(data)
+        if self._left == 0:
+            if len(source) < place + 2:
+                raise _Incomplete
+            if source[place:place + 2] != b"\r\n":
+                raise ProtocolError("value not closed")
+            place, self._left = place + 2, -1
+            found.append(Closed())
+        else:
+            try:
+                value, place = self._value(source, place, 1)
+            except _Long:
+                raise ProtocolError("value too long") from None
+            self._after.append(value)
+            self._missing -= 1
+        if not self._missing:
+            found.append(End(self._after))
+            self._after, self._missing = [], -1
+        return place
+
     @staticmethod
     def _line(source: bytes | bytearray, place: int) -> tuple[bytes, int]:
         end = source.find(b"\r\n", place, place + MOST_LINE)
@@ -95,7 +184,10 @@
             raise ProtocolError("unknown type byte")
         line, place = self._line(source, place + 1)
         if kind == b"$":
-            return self._bulk(source, place, _number(line))
+            length = _number(line)
+            if depth and MOST_VALUE < length <= self._longest:
+                raise _Long(length, place)
+            return self._bulk(source, place, length)
         if kind == b"*":
             count = _number(line)
             if count > MOST_ITEMS or depth > 0:
@@ -103,8 +195,15 @@
             if count < 0:
                 return None, place
             items: list[Value] = []
-            for _ in range(count):
-                item, place = self._value(source, place, depth + 1)
+            for number in range(count):
+                try:
+                    item, place = self._value(source, place, depth + 1)
+                except _Incomplete as missing:
+                    missing.item = number if missing.item >= 0 else -1
+                    raise
+                except _Long as long:
+                    long.begin = Begin(items, long.begin.length, count - number - 1)
+                    raise
                 items.append(item)
             return items, place
         if kind == b"+":
@@ -119,7 +218,9 @@
             raise ProtocolError("value too long")
         end = place + length
         if len(source) < end + 2:
-            raise _Incomplete
+            missing = _Incomplete()
+            missing.item = 0     # whoever reads the array says which
+            raise missing
         if source[end:end + 2] != b"\r\n":
             raise ProtocolError("value not closed")
         return bytes(source[place:end]), end + 2
@@ -130,6 +231,17 @@
     return b"*%d\r\n" % len(words) + b"".join([b"$%d\r\n%b\r\n" % (len(word), word) for word in words])
 
 
+def command_head(length: int, *words: bytes) -> bytes:
+    """A command up to its last bulk string, of that length, which is written behind it."""
+    return b"*%d\r\n" % (len(words) + 1) + b"".join([b"$%d\r\n%b\r\n" % (len(word), word) for word in words]) + (
+        bulk_head(length))
+
+
+def bulk_head(length: int) -> bytes:
+    """The head of a bulk string."""
+    return b"$%d\r\n" % length
+
+
 def bulk(value: bytes) -> bytes:
     """A bulk string."""
     return b"$%d\r\n%b\r\n" % (len(value), value)
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import deque
-from math import isfinite
+from math import inf, isfinite
 from typing import Any
 
 from twisted.internet.defer import Deferred
@@ -17,12 +17,14 @@
 from thymeflow.net.call import Call
 from thymeflow.net.config import Address, Listed
 from thymeflow.net.core import Order, Outcome
+from thymeflow.net.flow import Flow
 from thymeflow.net.link import Link, dial, unread
 from thymeflow.net.table import Table
 
 IDLE_SHARE = 0.7     # of conn-idle: an idle connection is dropped then, well before the other end may
 SWEEP = 1.0          # s: between looks for connections that have been idle for long
-STALL = 0.3          # s: from the first bytes of an answer to its last; it is written at once
+STALL = 1.0          # s: without a byte of an answer that has begun; servers write in pieces, and some slowly
+HUNG = 5.0           # s: the same of a long one that is being passed on; to cut off one that moves would lose it
 MOST_FIGURE = 1e6    # beyond it no figure is believed: 10,000 times a quota, 17 minutes of service time
 READY = api.BackendState.READY
 FIELDS = {b"inflight": "inflight", b"active": "inflight", b"queue": "queued", b"waiting": "queued",
@@ -55,7 +57,7 @@
                    api.LoadReport(**load) if load else None)
 
 
-def outcome_of(reply: resp.Value) -> Outcome | None:
+def outcome_of(reply: resp.Event) -> Outcome | None:
     """What an application server's reply means; None for one that is no answer, after which nothing holds."""
     if isinstance(reply, list) and len(reply) == 3 and isinstance(reply[0], bytes):
         return _outcome(api.Status.OK, reply[0], [r for r in reply[1:] if isinstance(r, bytes)])
@@ -96,11 +98,23 @@
     """A connection to an application server, which carries one pass at a time."""
 
     def __init__(self, upstream: Upstream, pool: Pool) -> None:
-        super().__init__()
+        super().__init__(resp.MOST_LONG)
         self.upstream, self.pool = upstream, pool
         self.carries = -1          # handle of the pass that is out on it
-        self.since = 0.0           # when it fell idle
+        self.since = 0.0           # when it fell idle, or when bytes of an answer came last
         self.begun = False         # the first bytes of an answer have come
+        self.flow: Flow | None = None    # a long answer on its way
+        self.body: Flow | None = None    # a long body that is not all written
+
+    def sent(self) -> bool:
+        """Whether the last byte of the pass has gone to the kernel, so that it may run."""
+        return self.flushed and self.body is None
+
+    def resumeProducing(self) -> None:
+        """The buffer has gone to the kernel: there is room for more of a body."""
+        super().resumeProducing()
+        if self.body is not None:
+            self.body.more()
 
     def dataReceived(self, data: bytes) -> None:
         """Read all that came before the connection may be used again: it may hold more than the answer."""
@@ -109,22 +123,59 @@
             return
         if self.carries < 0:
             self.garbled("bytes though nothing was asked")
-        elif found:
-            outcome = outcome_of(found[0])
-            if outcome is None:
-                self.garbled(f"no answer: {str(found[0])[:60]}")
+            return
+        self.since = clock.now()
+        while found:
+            event = found.pop(0)
+            if isinstance(event, resp.Begin):
+                if event.before or event.after != 2 or self.body is not None:
+                    self.garbled("a long value where none belongs")
+                else:
+                    self.upstream.long_answer(self, event.length)
+            elif isinstance(event, resp.Part) and self.flow is not None:
+                self.flow.push(event.data)
+            elif isinstance(event, resp.Closed) and self.flow is not None:
+                self.flow.finish()
+            else:
+                self._answered(event, found, fault)
+                return
+            if self.closed:
                 return
-            # What follows is a second copy or noise: the next pass over this connection would be given it.
-            clean = len(found) == 1 and not fault and not self._parser.held()
-            if not clean:
-                log.say("application server garbled", f"{self.pool.address}: more than the answer")
-            self.upstream.answered(self, outcome, clean)
-        elif fault:
+        if fault:
             self.garbled(fault)
         elif not self.begun:
             self.begun = True
             self.upstream.expect_rest(self)
 
+    def _answered(self, event: resp.Event, more: list[resp.Event], fault: str) -> None:
+        long = isinstance(event, resp.End)
+        outcome = outcome_of([b"", *event.after] if isinstance(event, resp.End) else event)
+        if outcome is None or (self.body is not None and outcome.status is api.Status.OK):
+            self.garbled(f"no answer: {str(event)[:60]}")
+            return
+        # What follows is a second copy or noise: the next pass over this connection would be given it.
+        clean = not more and not fault and not self._parser.held()
+        if not clean:
+            log.say("application server garbled", f"{self.pool.address}: more than the answer")
+        if long:
+            self.flow = None
+        self.upstream.answered(self, outcome, clean and self.body is None)
+
+    # A long body on its way: see `flow.Sink`.
+
+    def part(self, data: bytes) -> None:
+        """The next bytes of the body."""
+        self.write(data)
+
+    def end(self) -> None:
+        """All of the body has been written: from now on the pass may run, and its sender waits."""
+        self.write(b"\r\n")
+        self.body = None
+
+    def broken(self) -> None:
+        """The rest of the body will not come: the pass never ran."""
+        self.upstream.cut_off(self)
+
     def garbled(self, fault: str) -> None:
         """The pass that is out may have run, and its answer cannot be told."""
         log.say("application server garbled", f"{self.pool.address}: {fault}", address=self.pool.address)
@@ -203,7 +254,8 @@
         elif pool is None or pool.state is not READY:
             self._end(handle, Outcome(api.Status.CONNECT_FAILED))
         else:
-            going.due = self._deadlines.at(order.deadline, self._late, handle)
+            if order.deadline < inf:
+                going.due = self._deadlines.at(order.deadline, self._late, handle)
             if connection := self._warm(pool):
                 self._pass_on(connection, handle)
             elif self.count < self._most or self._spare_one():
@@ -274,12 +326,51 @@
         going = self._passes.get(handle)
         assert going is not None and isinstance(going.order.payload, Call)
         going.connection, connection.carries, connection.begun = connection, handle, False
-        wait = max(1, int((going.order.deadline - clock.now()) * 1000.0))
-        connection.write(going.order.payload.write(wait))
+        call, connection.flow = going.order.payload, None
+        if call.flow is None:
+            connection.write(call.write(max(1, int((going.order.deadline - clock.now()) * 1000.0))))
+        else:   # the time of one that is not whole starts with its last byte
+            connection.body = body = call.flow
+            connection.narrow()
+            body.when_whole(lambda: self._whole(handle, body.deadline))
+            going.order.bound()
+            connection.write(call.write(call.wait))
+            call.flow.attach(connection)
+
+    def _whole(self, handle: int, deadline: float) -> None:
+        # A long body has come whole from its sender, whose time runs from now on.
+        going = self._passes.get(handle)
+        if going is not None:
+            going.due = self._deadlines.at(deadline, self._late, handle)
+
+    def cut_off(self, connection: Connection) -> None:
+        """A long body stops in the middle; closing is how the application server learns that."""
+        self._give_up(connection.carries, api.Status.CANCELLED)
+
+    def long_answer(self, connection: Connection, length: int) -> None:
+        """A long answer begins: its deadline is met, and it goes to whoever asked."""
+        handle, transport = connection.carries, connection.transport
+        going = self._passes.get(handle)
+        assert going is not None
+        if going.due:
+            self._deadlines.cancel(going.due)
+
+        def pace(waits: bool) -> None:
+            if waits:
+                transport.pauseProducing()
+            else:
+                connection.since = clock.now()   # it could not move before
+                transport.resumeProducing()
+
+        connection.narrow()
+        connection.flow = flow = Flow(length, pace, lambda: self._give_up(handle, api.Status.CANCELLED))
+        if not going.order.began(flow):
+            self._give_up(handle, api.Status.CANCELLED)
 
     def answered(self, connection: Connection, outcome: Outcome, clean: bool) -> None:
         """The pass out on this connection has its answer; if that was all, the connection is free first."""
         handle, connection.carries = connection.carries, -1
+        self._unload(connection)
         if clean:
             self._release(connection)
         else:
@@ -288,20 +379,41 @@
         self._end(handle, outcome)
 
     def expect_rest(self, connection: Connection) -> None:
-        """An answer has begun: one that does not end is as spoilt as one that cannot be read."""
+        """An answer has begun: one that does not go on is as spoilt as one that cannot be read."""
         self._deadlines.at(clock.now() + STALL, self._stalled, connection.carries)
 
     def _stalled(self, handle: int) -> None:
         going = self._passes.get(handle)
-        if going is not None and going.connection is not None:
-            going.connection.garbled("an answer was begun and not ended")
+        connection = None if going is None else going.connection
+        if connection is None or not connection.begun:
+            return
+        flow, now = connection.flow, clock.now()
+        due = connection.since + (STALL if flow is None else HUNG)
+        if flow is not None and flow.waits:
+            due = now + HUNG      # its reader takes its time
+        if due <= now:
+            connection.garbled("an answer was begun and not ended")
+        else:
+            self._deadlines.at(due, self._stalled, handle)
+
+    @staticmethod
+    def _unload(connection: Connection) -> None:
+        # The pass has ended: the rest of a body is not wanted here, and that of an answer will not come.
+        body, connection.body = connection.body, None
+        flow, connection.flow = connection.flow, None
+        if body is not None:
+            body.discard()
+        if flow is not None:
+            flow.fail()
 
     def spoilt(self, connection: Connection) -> None:
         """A connection was given up as what it brought cannot be read."""
         self.count -= 1
         handle, connection.carries = connection.carries, -1
+        sent = connection.sent()
+        self._unload(connection)
         if handle >= 0:
-            self._end(handle, Outcome(api.Status.ERROR))
+            self._end(handle, Outcome(api.Status.ERROR if sent else api.Status.CONNECT_FAILED))
         elif connection in connection.pool.idle:
             connection.pool.idle.remove(connection)
 
@@ -309,17 +421,19 @@
         """A connection ended; a pass not wholly written has never run, another one may have."""
         handle, connection.carries = connection.carries, -1
         self.count -= 1
+        sent = connection.sent()
+        self._unload(connection)
         if handle >= 0:
             address = connection.pool.address
             log.say("reset", f"{address} broke a connection with a proxy pass out", address=address)
-            self._end(handle, Outcome(api.Status.RESET if connection.flushed else api.Status.CONNECT_FAILED))
+            self._end(handle, Outcome(api.Status.RESET if sent else api.Status.CONNECT_FAILED))
         elif connection in connection.pool.idle:
             connection.pool.idle.remove(connection)
 
     def _late(self, handle: int) -> None:
         going = self._passes.get(handle)
         if going is not None:
-            left = going.connection is not None and going.connection.flushed
+            left = going.connection is not None and going.connection.sent()
             self._give_up(handle, api.Status.TIMEOUT if left else api.Status.CONNECT_FAILED)
 
     def _give_up(self, handle: int, status: api.Status) -> None:
@@ -327,9 +441,10 @@
         if going is None:
             return
         if going.connection is not None:   # closing it is how the other end learns that nobody waits
-            going.connection.carries = -1
-            going.connection.hang_up()
+            connection, connection.carries = going.connection, -1
+            connection.hang_up()
             self.count -= 1
+            self._unload(connection)
         elif pool := self._pools.get(going.order.backend):
             pool.waiting.remove(handle)
         self._end(handle, Outcome(status))
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -2,7 +2,6 @@
 
 from __future__ import annotations
 
-import hashlib
 import random
 from collections.abc import Callable
 from math import exp, inf, isfinite, sqrt
@@ -73,9 +72,7 @@
     def join(self, first: int, spread: int, gateways: int, born: float) -> None:
         before, self.moved = self.count if self.members else 0, False
         self.count = min(max(1, spread), gateways)
-        self.members = [(first + k) % gateways for k in range(self.count)]
-        # Rendezvous hashing: every gateway finds the same meeting points, and they differ by customer.
-        self.members.sort(key=lambda m: (self.number ^ m * 0x9E3779B97F4A7C15) * 0xBF58476D1CE4E5B9 % 2**64)
+        self.members = counts.meeting_points(self.number, first, self.count, gateways)
         # In a set of another size the slice shrinks with the others' and never grows: nothing is minted.
         less = min(1.0, before / self.count)
         self.level = min(self.level, self.level * less) if before else self.fleet / self.count
@@ -223,7 +220,7 @@
             api.Request: self.on_request, api.AttemptEnded: self.on_ended, api.TimerFired: self.on_timer,
             api.Membership: self.on_membership, api.PeerMessage: self.on_note, api.ClientLeft: self.on_passed,
             api.CounterReply: self.on_counter, api.ResponseStarted: self.on_passed,
-            api.Resettled: self.on_resettled}
+            api.BodyBegun: self.on_passed, api.Resettled: self.on_resettled}
 
     def handle(self, now: float, event: api.Event) -> list[api.Action]:   # decide on one event
         self.now, self.actions = now, []
@@ -356,7 +353,8 @@
         if job is None or event.attempt not in job.out():
             return
         server, job.ended[event.attempt] = job.attempts[event.attempt][0], event.status
-        server.out, self.out, job.store.open = server.out - 1, self.out - 1, job.store.open - 1
+        held = int(not job.begun)   # else its place was given back as its answer began
+        server.out, self.out, job.store.open = server.out - held, self.out - held, job.store.open - 1
         self.learn(job, server, event, job.attempts[event.attempt][1])
         if event.closed or job.done:
             self.finish(job, answer=False)
@@ -409,9 +407,12 @@
         if not job.out():
             self.jobs.pop(job.request.id, None)
 
-    def on_passed(self, event: api.ResponseStarted | api.ClientLeft) -> None:
+    def on_passed(self, event: api.ResponseStarted | api.BodyBegun | api.ClientLeft) -> None:
         if job := self.jobs.get(event.id):
-            job.streaming = isinstance(event, api.ResponseStarted)
+            job.streaming = not isinstance(event, api.ClientLeft)
+        if job and isinstance(event, api.ResponseStarted):   # its server is done: a slow reader crowds nobody
+            server, job.begun = job.attempts[event.attempt][0], True
+            server.out, self.out = server.out - 1, self.out - 1
         if job and not job.streaming:
             self.finish(job, answer=False)
 
@@ -429,8 +430,7 @@
             self.finish(job, answer=True)
 
     def store(self, plan: api.Plan, event: api.Request) -> Store:   # brought up to now
-        digest = hashlib.blake2b(event.customer.encode(), digest_size=4).digest()
-        store = self.known(int.from_bytes(digest, "big"), plan)
+        store = self.known(counts.number(event.customer), plan)
         store.heard = self.heard   # carriers that are heard speak of those who matter
         store.refresh(self.now)
         if not store.members or store.moved:
