--- a/thymeflow/lab/standins/agents.py
+++ b/thymeflow/lab/standins/agents.py
@@ -65,7 +65,8 @@
     transport: Any
 
     def __init__(self, agents: Agents, limiter: int) -> None:
-        self._agents, self.limiter, self._parser = agents, limiter, resp.Parser()
+        self._agents, self.limiter, self._parser = agents, limiter, resp.Parser(resp.MOST_LONG)
+        self._long = b""       # the first bytes of a long value
         self.result: Result | None = None
         self.last: Result | None = None
         self.used, self.closed, self.begun = False, False, False
@@ -82,7 +83,15 @@
         found, _ = self._parser.feed(data)
         self.begun = True
         for value in found:
-            self._answer(value)
+            if isinstance(value, resp.Begin):
+                self._long = b""
+            elif isinstance(value, resp.Part):
+                self._long = (self._long + value.data)[:64]
+                self._agents.slowly(self, len(value.data))
+            elif isinstance(value, resp.Closed):
+                self._answer(self._long)
+            elif not isinstance(value, resp.End):
+                self._answer(value)
 
     def _answer(self, value: resp.Event) -> None:
         result, self.result = self.result, None
@@ -125,6 +134,7 @@
         self.dialled: dict[_Connection, tuple[Result, bytes]] = {}
         self.on_end: Callable[[Result], None] = lambda result: None
         self.stopped = False
+        self.pace: dict[str, float] = {}   # by class: bytes a second that are taken of a long answer
         self._reactor, self._deadlines, self._rng, self._address = reactor, deadlines, rng, address
         self._idle: dict[int, list[_Connection]] = {}
         self._connections: set[_Connection] = set()
@@ -248,6 +258,13 @@
             result.notes.append("no answer in time")
             self._end(result, "unanswered")
 
+    def slowly(self, connection: _Connection, taken: int) -> None:
+        """Bytes of a long answer were taken: no more for a while, where its class has a pace."""
+        pace = self.pace.get(connection.result.cls) if connection.result else None
+        if pace:
+            connection.transport.pauseProducing()
+            self._deadlines.at(clock.now() + taken / pace, lambda _: connection.transport.resumeProducing())
+
     def killed(self, limiter: int) -> None:
         """A limiter is killed outright: what is open there is lost through no fault of its own."""
         for result in self.open.values():
--- a/thymeflow/lab/standins/server.py
+++ b/thymeflow/lab/standins/server.py
@@ -115,6 +115,7 @@
         self.number, self.arrivals, self.connections = number, list[Arrival](), set[_Connection]()
         self.mean, self.cost = mean, cost            # s of work; true units for a declared one
         self.error_rate = 0.0
+        self.long: dict[str, int] = {}               # by class: bytes that a value is filled up to
         self._reactor, self._deadlines, self._meter, self._rng = reactor, deadlines, meter, rng
         self._slots, self._room, self._busy = slots, room, 0
         self._waiting: deque[Callable[[], None]] = deque()
@@ -175,7 +176,7 @@
             if self._rng.random() < self.error_rate:
                 answered(b"-ERR failed " + figures + b"\r\n")
             else:
-                value = b"%b:%d" % (request.encode(), self.number)
+                value = (b"%b:%d " % (request.encode(), self.number)).ljust(self.long.get(terms.get("c", ""), 0), b".")
                 answered(b"*3\r\n" + resp.bulk(value) + resp.bulk(figures) + resp.bulk(b"avg_ms=%.2f" % (work * 1e3)))
             if self._waiting and self._busy < self._slots:
                 self._waiting.popleft()()
--- a/thymeflow/net/resp.py
+++ b/thymeflow/net/resp.py
@@ -2,7 +2,7 @@
 
 Whoever is at the other end may be broken or hostile, so a message that would not fit the bounds is
 refused as soon as its head shows it, and no more than one message is ever held back incomplete. A value too
-long to be held, in an array, comes as events instead: `Begin`, `Part` as often as bytes come, `Closed` behind the
+long to be held, in an array or alone, comes as events instead: `Begin`, `Part` as often as bytes come, `Closed` behind the
 value, and `End` with what follows it in the array.
 """
 
@@ -185,7 +185,7 @@
         line, place = self._line(source, place + 1)
         if kind == b"$":
             length = _number(line)
-            if depth and MOST_VALUE < length <= self._longest:
+            if MOST_VALUE < length <= self._longest:
                 raise _Long(length, place)
             return self._bulk(source, place, length)
         if kind == b"*":
