--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -121,3 +121,25 @@
             assert load <= 2.5 * share * cores * 3.0, f"{number} may fall over"
     late = sum(len([t for t in times if t > 1010.0]) for times in sent.values()) / 36
     assert late >= 11.5, "servers that are half warm are left idle"   # of 15 if all were warm
+
+
+def test_what_may_be_out_goes_by_the_capacity_that_is_present_and_grows_back_as_it_warms() -> None:
+    def out(now: float, gateway: Gateway) -> int:
+        count = 0
+        while sends(gateway.handle(now, request(f"{now}-{count}", 0.01, customer=str(count), spread=1))):
+            count += 1
+        return count
+
+    def restarted(state: i.BackendState, age: float) -> Gateway:
+        gateway = started(settings(gateways=1), 100.0)
+        news = [b._replace(state=state, started=100.0 - age) for b in fleet()[1:]]
+        gateway.handle(100.0, i.Membership(i.ListKind.DELTA, tuple(news)))
+        return gateway
+
+    all_warm = out(100.0, started(settings(gateways=1), 100.0))
+    cold, warmer = (out(100.0, restarted(i.BackendState.READY, age)) for age in (0.1, 8.0))
+    assert out(100.0, restarted(i.BackendState.DRAINING, 50.0)) < 0.6 * all_warm, "what drains carries nothing new"
+    assert cold < 0.7 * all_warm and cold < warmer < all_warm
+    late = restarted(i.BackendState.READY, 0.1)
+    late.handle(120.0, i.TimerFired(1))   # the next look
+    assert out(120.0, late) >= all_warm
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -7,7 +7,7 @@
 from math import exp, inf, isfinite, sqrt
 from typing import Any
 
-from thymeflow import counts, notes
+from thymeflow import counts, notes, warmth
 from thymeflow import interface as api
 from thymeflow.job import NEVER_RAN, Job
 
@@ -35,7 +35,7 @@
 STRAIN = 4.0           # share refused for each aim that answers take longer than when it is pressed
 FADE = 6.0             # s: memory of pressure; who refuses all hears no answers and must try again
 SMOOTH = 0.1           # weight of a new sample in running means (about the last 20 answers)
-OUT = 4.0              # attempts a backend over all gateways: limit on what may be out, lumps aside
+OUT = 4.0              # attempts a warm backend over all gateways: limit on what may be out, lumps aside
 EASE = 1.0             # times the limit: how much more may be out while answers come far within the aim
 RESERVE = 0.4          # of the limit: kept for customers with full stores, so shedding goes by quota
 CROSS_ZONE = 0.5       # requests: how much shorter a line must be to be worth leaving the zone
@@ -184,10 +184,9 @@
         return all(self.health[part][1] <= now for part in ("", name) if part in self.health)
 
     def coldness(self, now: float, rules: api.Rules) -> float:   # share of a warm load; 0: warm
-        age = max(0.0, now - self.entry.started)
-        share = rules.cold_share + (1.0 - rules.cold_share) * age / max(1e-9, rules.cold_time)
+        share = warmth.share(now - self.entry.started, rules)
         aim = COLD_LOAD[0] + (COLD_LOAD[1] - COLD_LOAD[0]) * share
-        return min(1.0, aim * rules.fall_multiple * share) if age < rules.cold_time else 0.0
+        return min(1.0, aim * rules.fall_multiple * share) if share < 1.0 else 0.0
 
     def score(self, zone: str) -> float:   # expected wait: own line times pace
         load = self.out + 1.0 + (CROSS_ZONE if self.entry.zone != zone else 0.0)
@@ -212,7 +211,7 @@
         self.calls: dict[int, tuple[int, float]] = {}      # customer and units called for, by name
         self.heard, self.allowance = -inf, 1.0             # last word of anyone; notes that may be sent
         self.call_rate = self.call_room = max(CALLS[0], min(CALLS[1], CALLS[2] / settings.gateways))
-        self.born, self.now, self.actions = -inf, 0.0, list[api.Action]()
+        self.born, self.now, self.present, self.actions = -inf, 0.0, 0.0, list[api.Action]()
         self.token, self.out, self.answered = 0, 0, -inf   # last timer; attempts out; last answer taken in
         self.pressure, self.usual = 0.0, PRESSED_AT / 2.0   # mean answer times over the aim: late, long
         self.life, self.sequence, self.noted = self.rng.randrange(1 << 16), 0, -inf
@@ -247,6 +246,7 @@
                 server = Server(entry, self.now)
             if entry.state is not api.BackendState.GONE:
                 self.servers[entry.id], server.entry = server, entry
+        self.present = warmth.present([s.entry for s in self.servers.values()], self.now, self.settings.rules)
 
     def adopt(self, settings: api.Settings) -> None:   # all that is derived from them
         self.settings, self.limits = settings, settings.limits
@@ -320,7 +320,7 @@
         # A small part of what may be out comes in lumps: two deviations and one more are let through.
         # Few slow requests among quick ones hold many places: with no time lost, they crowd nobody out.
         ease = 1.0 + EASE * max(0.0, 1.0 - self.pressure / PRESSED_AT)
-        limit = OUT * len(self.servers) / self.settings.gateways * (1.0 - RESERVE * lack) * ease
+        limit = OUT * self.present / self.settings.gateways * (1.0 - RESERVE * lack) * ease
         strain = STRAIN * max(0.0, self.pressure - PRESSED_AT) * (0.5 + lack)
         if self.out >= limit + 2.0 * sqrt(limit) + 1.0:
             return "places"
@@ -447,6 +447,7 @@
         self.arm(TICK, "tick")
         intake, beat = self.settings.information.peer_intake, self.now - self.noted >= SPEAK_EVERY
         self.pressure *= exp(-TICK / FADE)
+        self.present = warmth.present([s.entry for s in self.servers.values()], self.now, self.settings.rules)
         if beat:
             self.noted = self.now
             self.stores = {n: s for n, s in self.stores.items() if self.now - s.seen <= FORGET or s.open}
