Give up a long body that a server takes nothing of, and end a lone start when told

A server that goes without a word in the middle of a long body left user agent and pass waiting for good, as the time of such a request starts with its last byte (upstream._pass_on set no deadline): without a byte taken for 5 s the pass is given up as never run, the rest is thrown away and the answer says when to come back. A copy that had given up taking over and had no list yet ignored SIGTERM (taking.serves went by the phase): it goes by the state again.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import contextlib
+from math import inf
 from typing import Any
 
 import pytest
@@ -15,14 +16,15 @@
 from thymeflow import interface as i
 from thymeflow.drill import settings_from
 from thymeflow.net import clock, resp
-from thymeflow.net.call import Reader
+from thymeflow.net.call import Call, Reader
 from thymeflow.net.config import Address, Listed, listed
 from thymeflow.net.core import Answer, Core, Offer, Order, Outcome, Verdict
 from thymeflow.net.counter import DEAD, STALL, Line, Result
 from thymeflow.net.discovery import Body, Discovery, HttpError
+from thymeflow.net.flow import Flow
 from thymeflow.net.table import Table
+from thymeflow.net.upstream import HUNG, Upstream, outcome_of
 from thymeflow.net.upstream import STALL as ANSWER_STALL
-from thymeflow.net.upstream import Upstream, outcome_of
 
 
 class Handle:
@@ -44,6 +46,8 @@
 
     def shutdown(self, how: int) -> None: ...
 
+    def setsockopt(self, level: int, name: int, value: int) -> None: ...
+
 
 class World:
     """A reactor in memory under a clock that the test moves."""
@@ -194,6 +198,28 @@
     assert server.closed
 
 
+@pytest.mark.parametrize("moves", [True, False])
+def test_a_long_body_is_given_up_where_nothing_of_it_is_taken(world: World, moves: bool) -> None:
+    made, ends = upstream(world)
+    body = Flow(300_000, lambda waits: None, lambda: None)
+    call = order().payload
+    assert isinstance(call, Call)
+    made.begin(Order(1, call._replace(flow=body), inf)).addCallback(ends.append)
+    server = world.up(0)
+    server.transport.handle.most = 0              # the kernel's buffer is full
+    for _ in range(4):
+        body.push(b"x" * 1000)
+        world.reactor.pump([0.1] * round(0.4 * HUNG / 0.1))
+        if moves:
+            server.resumeProducing()              # a little has gone
+    if moves:
+        assert not ends and server.flushed
+        body.fail()
+        assert ends[0].status is i.Status.CANCELLED
+    else:
+        assert ends[0].status is i.Status.CONNECT_FAILED and server.closed and not body.waits
+
+
 def test_a_counter_call_given_up_keeps_its_place_in_line(world: World) -> None:
     line = Line(world.reactor, world.deadlines, Address("127.0.0.1", 9))
     results: list[tuple[i.Status, float]] = []
--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -158,6 +158,16 @@
     assert ping(limiter) == b"+PONG"
 
 
+def test_one_that_starts_by_itself_without_a_list_ends_when_told(limiter: Limiter) -> None:
+    killed(limiter.process)                      # its socket stays behind
+    limiter.config["known"]["instances"] = []
+    new = upgrade(limiter) and limiter.process
+    limiter.log("given up: this life starts by itself")
+    limiter.log("listening:")
+    new.send_signal(signal.SIGTERM)
+    assert new.wait(PATIENCE) == 0
+
+
 def test_other_plans_do_not_stop_a_release(limiter: Limiter) -> None:
     limiter.config["settings"]["tiers-of-service"][0]["most-at-once"] = 2.0
     spent(limiter, 100)
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -24,7 +24,8 @@
 IDLE_SHARE = 0.7     # of conn-idle: an idle connection is dropped then, well before the other end may
 SWEEP = 1.0          # s: between looks for connections that have been idle for long
 STALL = 1.0          # s: without a byte of an answer that has begun; servers write in pieces, and some slowly
-HUNG = 5.0           # s: the same of a long one that is being passed on; to cut off one that moves would lose it
+HUNG = 5.0           # s: the same of a long one that is being passed on, as to cut off one that moves would lose it;
+#                      and of a long body, without a byte taken of it
 MOST_FIGURE = 1e6    # beyond it no figure is believed: 10,000 times a quota, 17 minutes of service time
 READY = api.BackendState.READY
 WHOLE = (list, resp.Problem)   # types of an answer that came whole
@@ -169,6 +170,7 @@
 
     def part(self, data: bytes) -> None:
         """The next bytes of the body."""
+        self.since = clock.now()
         self.write(data)
 
     def end(self) -> None:
@@ -336,6 +338,8 @@
         else:   # the time of one that is not whole starts with its last byte
             connection.body = body = call.flow
             connection.narrow()
+            connection.since = clock.now()
+            self._deadlines.at(connection.since + HUNG, self._stuck, handle)
             body.when_whole(lambda: self._whole(handle, body.deadline))
             going.order.began(None)
             connection.write(call.write(call.wait))
@@ -347,6 +351,21 @@
         if going is not None:
             going.due = self._deadlines.at(deadline, self._late, handle)
 
+    def _stuck(self, handle: int) -> None:
+        # Guards both ends of a long body against an application server that has gone without a word.
+        going = self._passes.get(handle)
+        connection = None if going is None else going.connection
+        if connection is None or connection.body is None:
+            return
+        now = clock.now()
+        due = connection.since + HUNG if not connection.flushed else now + HUNG
+        if due > now:
+            self._deadlines.at(due, self._stuck, handle)
+        else:
+            address = connection.pool.address
+            log.say("body stuck", f"{address} takes nothing of a long body: never whole, it never ran", address=address)
+            self._give_up(handle, api.Status.CONNECT_FAILED)
+
     def cut_off(self, connection: Connection) -> None:
         """A long body stops in the middle; closing is how the application server learns that."""
         self._give_up(connection.carries, api.Status.CANCELLED)
--- a/thymeflow/succession/taking.py
+++ b/thymeflow/succession/taking.py
@@ -8,7 +8,6 @@
 from typing import Any
 
 from thymeflow.net import clock, log
-from thymeflow.net.phases import Phase
 from thymeflow.state import meaning, record
 from thymeflow.succession import ask, table
 from thymeflow.succession.control import Line, Message
@@ -47,8 +46,8 @@
         self.told(Told.BROKEN)
 
     def serves(self) -> bool:
-        """Whether this process accepts by now, so that it ends as any other."""
-        return self._estate.limiter.lifecycle.phase is not Phase.STARTING
+        """Whether this process accepts by now, or starts by itself: it ends as any other."""
+        return self.state in (Taker.PROVING, Taker.HOLDING, Taker.FAILED)
 
     def listed(self) -> None:
         """The list is known."""
