--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -185,3 +185,21 @@
         end(old)
         assert ping(limiter) == b"+PONG"
     assert isinstance(limiter.connect(), Peer)
+
+
+def test_where_unix_sockets_are_refused_all_else_goes_on(tmp_path: Path) -> None:
+    (tmp_path / "sitecustomize.py").write_text(
+        "import socket\n"
+        "class Refusing(socket.socket):\n"
+        "    def __init__(self, family=-1, *more, **named):\n"
+        "        if family == socket.AF_UNIX:\n"
+        "            raise PermissionError(1, 'Operation not permitted')\n"
+        "        super().__init__(family, *more, **named)\n"
+        "socket.socket = Refusing\n")
+    with Limiter(tmp_path, managed=True, environment={"PYTHONPATH": str(tmp_path)}) as limiter:
+        assert ping(limiter) == b"+PONG"
+        (limiter.state / "n0.sock").symlink_to("nowhere")
+        old = upgrade(limiter)                    # which then shares the address
+        ready(limiter)
+        end(old)
+        assert ping(limiter) == b"+PONG"
--- a/thymeflow/succession/taking.py
+++ b/thymeflow/succession/taking.py
@@ -34,7 +34,11 @@
     def begin(self) -> None:
         """Ask the process that holds the name."""
         self._arm()
-        asking = ask.talk(self._estate.limiter.reactor, self._path, self._heard, self._broken)
+        try:
+            asking = ask.talk(self._estate.limiter.reactor, self._path, self._heard, self._broken)
+        except OSError as fault:     # the system refuses such sockets
+            self._unfit(f"nobody to take over from: {fault}")
+            return
         asking.addCallbacks(self._up, lambda failure: self._unfit(
             f"nobody to take over from: {failure.getErrorMessage()}"))
 
