Say why PING is answered with no, and leave nothing in the folder at the end

Found on trying docs/operating.md by hand, as a new user would: an evacuated limiter answered PING with '-LOADING not able to serve yet', and the last copy left its Unix socket in TMPDIR (the reactor stops before the port's own tidying). PING tells the reason that readyz tells; the socket is removed after the reactor.

--- a/tests/test_upgrade.py
+++ b/tests/test_upgrade.py
@@ -93,6 +93,8 @@
     assert "hand-over: done" in end(old)
     assert ping(limiter) == b"+PONG"
     assert len(list(limiter.state.iterdir())) == 2
+    end(limiter.process)
+    assert not list(limiter.state.iterdir())
 
 
 def killed(process: Popen[str]) -> None:
--- a/thymeflow/__main__.py
+++ b/thymeflow/__main__.py
@@ -68,7 +68,7 @@
     gc.freeze()   # what stands by now lasts, and need not be looked through again and again
     gc.enable()
     loop.run(installSignalHandlers=False)
-    return 0 if running is None else running.code
+    return 0 if running is None else running.finish()
 
 
 def entry() -> int:
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -267,7 +267,7 @@
             self._transaction(words)
         elif name == b"PING" and len(words) <= 2:
             if not self._front.able():
-                self._say(b"-LOADING not able to serve yet\r\n")
+                self._say(resp.problem(f"LOADING {self._front.why()}"))
             else:
                 self._say(resp.bulk(words[1]) if len(words) == 2 else b"+PONG\r\n")
         elif name in ATTENTION:
@@ -414,7 +414,8 @@
         self.going = 0
         self.emptying = False       # a connection ends with its last answer, or as it falls idle
         self.closing = False        # and no new one is taken
-        self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered
+        self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered with yes
+        self.why: Any = lambda: "starting"  # likewise: why not
         self.gone: Any = lambda: None       # likewise: a user agent has left
         self._sweep(0)
 
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -31,7 +31,7 @@
         self.entered: Callable[[Phase], None] = lambda phase: None   # who tells others of the phase
         self._lingers = False       # told to end, and the front may not have noticed yet
         self._evacuated = 0         # how often; what was set going by an earlier one is old
-        front.able = self.takes
+        front.able, front.why = self.takes, lambda: phases.WHY[self.phase]
         front.gone = self._look
 
     def takes(self) -> bool:
--- a/thymeflow/succession/control.py
+++ b/thymeflow/succession/control.py
@@ -215,6 +215,11 @@
         for caller in self.callers.all():
             caller.close()
 
+    def tidy(self) -> None:
+        """After the reactor: nothing of ours stays in the folder, however soon it ended after `close`."""
+        with contextlib.suppress(OSError):
+            self._own.unlink()
+
     def look_later(self) -> None:
         """Guards the places against callers that hang; nothing runs while there are none."""
         if not self._looking:
--- a/thymeflow/succession/run.py
+++ b/thymeflow/succession/run.py
@@ -66,6 +66,12 @@
         self.giving.heard(Word.ENDING)
         self.limiter.lifecycle.terminate(0.0 if self.giving.state in OFF else None)
 
+    def finish(self) -> int:
+        """After the reactor; the exit code."""
+        if self._control is not None:
+            self._control.tidy()
+        return self.code
+
     def _listed(self, news: config.Listed) -> None:
         self.past.listed(news)
         if self._taking is not None and self.past.has_list():
