Work out a limiter's budgets in one place, and test them beside an earlier life

Cause: reading the whole change again, Limiter.beside wrote the sums of Limiter.__init__ a second time (assembly.py), nothing tested that two copies keep one limiter's descriptors and memory, and benchmarks/in_service.py wrote the pause of two other scripts a third time. Ruled out as faults: the NotImplementedErrors in link.py and control.py, abstract methods that stood there before.

Change: Limiter._budgets is asked by both; a test gives it 0 to 1,000 held descriptors and fails if the sum passes the limit or memory is not halved; thymeflow/lab/steps.py has Steps and sleep for all three scripts.

No behaviour changes.

--- a/benchmarks/in_service.py
+++ b/benchmarks/in_service.py
@@ -15,30 +15,20 @@
 import threading
 import time
 from collections import Counter as Tally
-from collections.abc import Generator
 from pathlib import Path
 from typing import Any
 
 import psutil
-from twisted.internet import reactor as _reactor
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import inlineCallbacks
 
 from thymeflow.lab.standins import Customer, World
+from thymeflow.lab.steps import Steps, reactor, sleep
 
-reactor: Any = _reactor
 ROOT = Path(__file__).resolve().parent.parent
 MEMORY, LONG, MOST = 64, 20, 4 * 2**20     # MB of the limit; answers at once, and their bytes
 PACE = 1e6                                 # bytes a second that each of their readers takes
 SMALL = 100.0                              # small requests a second beside them
 UPGRADES, LOAD = 10, 200.0                 # how many, and requests a second all the while
-Steps = Generator[Deferred[Any], Any, Any]
-
-
-def sleep(seconds: float) -> Deferred[None]:
-    """A pause."""
-    done: Deferred[None] = Deferred()
-    reactor.callLater(seconds, done.callback, None)
-    return done
 
 
 class Copy:
--- a/benchmarks/prove_fleet.py
+++ b/benchmarks/prove_fleet.py
@@ -18,20 +18,18 @@
 import tempfile
 import time
 from collections import Counter as Tally
-from collections.abc import Generator
 from pathlib import Path
 from typing import Any
 
 import psutil
-from twisted.internet import reactor as _reactor
 from twisted.internet.defer import Deferred, inlineCallbacks
 
 from thymeflow.lab.standins import Customer, World
 from thymeflow.lab.standins.site import CLASSES, PLANS
+from thymeflow.lab.steps import Steps, reactor, sleep
 from thymeflow.net import clock
 from thymeflow.succession.ask import Unanswered, ask
 
-reactor: Any = _reactor
 FULL = os.environ.get("FULL") == "1"
 BREAK = os.environ.get("BREAK", "")
 MEMBERS, MORE = 20, 24
@@ -43,14 +41,6 @@
 MARGIN = 3.0                         # units: what docs/fleet.md promises for a customer of one limiter
 LONGEST = 300.0 if FULL else 100.0   # s: past it something hangs, and that is a failure
 
-Steps = Generator[Deferred[Any], Any, Any]
-
-
-def sleep(seconds: float) -> Deferred[None]:
-    """A pause in the script; nothing that is measured waits for it to be exact."""
-    done: Deferred[None] = Deferred()
-    reactor.callLater(seconds, done.callback, None)
-    return done
 
 
 class Proof:
--- a/benchmarks/run_line.py
+++ b/benchmarks/run_line.py
@@ -15,27 +15,17 @@
 import sys
 import tempfile
 import time
-from collections.abc import Generator
 from pathlib import Path
 from statistics import median
 from typing import Any
 
 import psutil
-from twisted.internet import reactor as _reactor
-from twisted.internet.defer import Deferred, inlineCallbacks
+from twisted.internet.defer import inlineCallbacks
 
 from thymeflow.lab.standins import Customer, World
+from thymeflow.lab.steps import Steps, reactor, sleep
 
-reactor: Any = _reactor
 REQUESTS, PACE = 2400, 600.0     # a round; open-loop, a second
-Steps = Generator[Deferred[Any], Any, Any]
-
-
-def sleep(seconds: float) -> Deferred[None]:
-    """A pause."""
-    done: Deferred[None] = Deferred()
-    reactor.callLater(seconds, done.callback, None)
-    return done
 
 
 @inlineCallbacks
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -16,8 +16,9 @@
 from thymeflow import interface as i
 from thymeflow.drill import settings_from
 from thymeflow.net import clock, resp
+from thymeflow.net.assembly import LEAST_ROOM, Limiter
 from thymeflow.net.call import Call, Reader
-from thymeflow.net.config import Address, Listed, listed
+from thymeflow.net.config import Address, Listed, from_source, listed
 from thymeflow.net.core import Answer, Core, Offer, Order, Outcome, Verdict
 from thymeflow.net.counter import DEAD, STALL, Line, Result
 from thymeflow.net.discovery import Body, Discovery, HttpError
@@ -391,3 +392,22 @@
     for place in range(len(text)):
         lines += body.feed(text[place:place + 1])
     assert (lines, body.done) == ([b"ab", b"", b"c", b"d"], True)
+
+
+@pytest.mark.parametrize("held", [0, 50, 150, 1000])
+def test_beside_an_earlier_life_both_keep_one_limiters_limits_until_it_has_gone(world: World, held: int) -> None:
+    source = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "counter": "127.0.0.1:9", "settings": SETTINGS,
+              "limits": {"sockets": 256, "memory_mb": 64}}
+    limiter = Limiter(from_source(source, "c.json", {}), world.reactor)
+
+    def budgets() -> tuple[int, ...]:
+        front, core = limiter.front, limiter.core
+        return front._most, limiter.upstream._most, front.most_held, front._most_input, core._memory
+
+    alone = budgets()
+    limiter.beside(held)
+    both = budgets()
+    assert both[0] + both[1] + held <= sum(alone[:2]) or both[0] + both[1] == LEAST_ROOM
+    assert all(2 * part <= whole + 1 for part, whole in zip(both[2:], alone[2:], strict=True))
+    limiter.beside(None)
+    assert budgets() == alone
--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -40,14 +40,12 @@
         settings, limits = given.settings, given.settings.limits
         self.given, self.reactor = given, reactor
         self.deadlines = clock.Deadlines(reactor)
-        room = given.sockets - config.SPARE_SOCKETS
         self._connected = False
+        agents, servers, requests, answers, commands = self._budgets(None)
         self.gateway = gateway or Gateway(settings, given.seed)
-        self.core = Core(settings, self.gateway, self.deadlines, int(given.memory * MEMORY_SHARE))
-        agents = int(room * AGENT_SHARE)
-        self.upstream = self.core.upstream = Upstream(reactor, self.deadlines, limits, room - agents)
-        self.front = Front(self.core, settings, self.deadlines, agents, int(given.memory * ANSWER_SHARE),
-                           int(given.memory * INPUT_SHARE))
+        self.core = Core(settings, self.gateway, self.deadlines, requests)
+        self.upstream = self.core.upstream = Upstream(reactor, self.deadlines, limits, servers)
+        self.front = Front(self.core, settings, self.deadlines, agents, answers, commands)
         self.lifecycle = Lifecycle(self.deadlines, self.core, self.front, longest_of(settings), reactor.stop, linger)
         self.on_list: Callable[[config.Listed], None] = lambda news: None   # who keeps the list beside us
         self.changed(given.known)
@@ -100,13 +98,19 @@
 
     def beside(self, held: int | None) -> None:
         """An earlier life of this limiter holds so many descriptors, or has ended: the limits are for both."""
-        room = self.given.sockets - config.SPARE_SOCKETS
+        agents, servers, requests, answers, commands = self._budgets(held)
+        self.front.limit(agents, answers, commands)
+        self.upstream.limit(servers)
+        self.core.limit(requests)
+
+    def _budgets(self, held: int | None) -> tuple[int, int, int, int, int]:
+        # Connections of user agents and to servers; bytes of requests, of answers and of unfinished commands.
+        room, memory = self.given.sockets - config.SPARE_SOCKETS, self.given.memory
         if held is not None:
-            room = max(LEAST_ROOM, room - held - OTHERS)
-        agents, memory = int(room * AGENT_SHARE), self.given.memory // (1 if held is None else 2)
-        self.front.limit(agents, int(memory * ANSWER_SHARE), int(memory * INPUT_SHARE))
-        self.upstream.limit(room - agents)
-        self.core.limit(int(memory * MEMORY_SHARE))
+            room, memory = max(LEAST_ROOM, room - held - OTHERS), memory // 2
+        agents = int(room * AGENT_SHARE)
+        return (agents, room - agents, int(memory * MEMORY_SHARE), int(memory * ANSWER_SHARE),
+                int(memory * INPUT_SHARE))
 
     def handed(self, handed: bool) -> None:
         """A successor accepts from now on, or it does not and we do again."""
