Take signals in the daemon before it tells that it is ready

Whoever is told READY=1 may signal at once. `serve` looked at the list of early SIGHUPs (service.py, `if early`) and only then `Service.run` set the handlers: a SIGHUP between the two was put on a list that nobody reads any more, and a SIGTERM there ended the process by its default action. Ruled out: a lost datagram (one was on the way, the queue holds ten), the reactor asleep with a call waiting (the tick wakes it every 0.1 s), the platform's start (`main` sets its handlers before it looks at the list).

Change: `Service.heed` sets the handlers before the start; what comes before the reactor runs waits in its queue. A test sends both signals between readiness and the reactor.

--- a/tests/test_daemon.py
+++ b/tests/test_daemon.py
@@ -87,6 +87,27 @@
             assert ended(limiter.process)[0] == 0
 
 
+def test_a_signal_between_readiness_and_the_reactor_is_not_lost(tmp_path: Path) -> None:
+    # Who is told READY=1 may reload at once; on a busy machine that comes before the reactor runs.
+    code = ("import os, signal, sys; from thymeflow import cli; from thymeflow.daemon import service; "
+            "run = service.Service.run; "
+            "service.Service.run = lambda self: (os.kill(os.getpid(), signal.{0}), run(self))[1]; "
+            "sys.argv[1:] = ['serve', '--state', {1!r}]; sys.exit(cli.run())")
+    with Limiter(tmp_path, serve=()) as limiter:
+        limiter.terminate()
+        ended(limiter.process)
+        for name, told in (("SIGHUP", "reload: discovery at"), ("SIGTERM", "phase: draining")):
+            limiter.process = subprocess.Popen(
+                [sys.executable, "-c", code.format(name, str(limiter.state))], cwd=ROOT, text=True,
+                stderr=subprocess.PIPE, env={**os.environ, "BALANCER_CONFIG": str(limiter.path)})
+            if name == "SIGHUP":
+                limiter.port = int(limiter.log("listening:").rsplit(":", 1)[1])
+                limiter.until(b"+PONG", command(b"PING"))
+                limiter.terminate()
+            status, text = ended(limiter.process)
+            assert status == 0 and told in text
+
+
 def test_a_name_is_held_once_and_a_killed_holder_leaves_nothing_in_the_way(tmp_path: Path) -> None:
     with Limiter(tmp_path, serve=()) as limiter:
         code, text = ended(limiter.start(()))
--- a/thymeflow/daemon/service.py
+++ b/thymeflow/daemon/service.py
@@ -148,11 +148,17 @@
         """Begin to accept, on a socket made elsewhere or on one of our own."""
         self.limiter.listen(handed or listening.bound(self.given.listen.host, self.given.listen.port))
 
-    def run(self) -> int:
-        """Serve until the end; the exit code."""
+    def heed(self) -> None:
+        """Take signals from now on; those that come before the reactor runs are served as it begins.
+
+        Whoever is told READY=1 may signal at once, and the reactor runs only some moments later.
+        """
         for number, served in ((signal.SIGTERM, self.end), (signal.SIGINT, self.end),
                                (signal.SIGHUP, self.reload)):
             signal.signal(number, lambda *_, served=served: self.reactor.callFromThread(served))
+
+    def run(self) -> int:
+        """Serve until the end; the exit code."""
         self._now_and_then(0)
         self.answers.beat()
         gc.collect()
@@ -290,6 +296,7 @@
     loop: Any = reactor
     try:
         service = Service(settings, load, options, loop, read)
+        service.heed()
         service.start()
     except config.ConfigError as fault:
         print(f"thymeflow: bad configuration: {fault}", file=sys.stderr)
