Tell the counter what is charged beside what is asked, in one call

Cause: seen, 7 to 10% of the units sent on by 4 limiters were beyond quotas, and about as many tries were refused with half of the quota unused. Lines at fault: Store.refresh guessed what others let in from what they were asked, as Gateway.on_counter heard nothing else; in a model of three limiters asked twice a quota the guess held the store of the set for empty (-7 of 30) while it was full, and half of the quota was given out.

Change: a count holds steps of both amounts (counts.pack, unpack), account.py keeps what was told and read, and the store of the set is known but for what was charged since, which is taken ahead and settled at the next reading. The reserve beyond a quota (KEEP) is gone, as what it guarded against is told now. A counter that lost all is told by what was asked, which never falls, as charges may.

--- a/thymeflow/state/record.py
+++ b/thymeflow/state/record.py
@@ -15,10 +15,11 @@
 from dataclasses import asdict, dataclass, field
 
 from thymeflow import interface as api
+from thymeflow.account import Account
 from thymeflow.state.typed import BadValue, typed
 
 MAGIC = "thymeflow-snapshot"
-VERSION = 1
+VERSION = 2               # 2: counts hold charges beside demand
 MOST_BYTES = 64 << 20      # a larger file is no snapshot of ours
 MOST_HEAD = 200
 AHEAD = 1.0                # s: by how much a snapshot may be newer than our clock, for clocks that step
@@ -43,18 +44,15 @@
     others: float
     asked: float
     charged: float
-    told: float
     lump: float
     excess: float
     memory: float
     count: int
     members: tuple[int, ...]
-    gathers: bool = False
-    window: int = -1          # the counter's window, its total there, and when that was read
-    total: float = 0.0
-    read: float = 0.0
-    unsure_window: int = -1   # units of calls whose answer never came, and in which window
-    unsure: float = 0.0
+    gathers: bool
+    taking: float             # what others charge, units a second, and what of it was taken ahead of a reading
+    ahead: float
+    account: Account          # what the counter was told, and told
 
 
 @dataclass(frozen=True, slots=True)
