Tell a counter call that was not added from a counter that lost all

Line at fault: Account.reading took a rise that came out below nothing, less a call whose answer was lost, for a counter that had begun anew, and charged the whole window of others once more.

Change: a counter has begun anew only where its total itself fell by what is asked; a call that turns out not to be in the total is left out of what is ours.

--- a/tests/test_information.py
+++ b/tests/test_information.py
@@ -218,6 +218,21 @@
     assert only_store(gateway).others == 0.0
 
 
+def test_a_call_that_was_not_added_after_all_is_not_taken_for_a_counter_that_lost_all() -> None:
+    gateway = started(settings(information=COUNTER))
+    gateway.handle(10.5, request("r0", 4.0))
+    made = call(gateway, 10.5)
+    total = made.amount + counts.pack(made.name, 30.0, 20.0)          # others charged 20 of the burst of 30
+    gateway.handle(11.0, i.CounterReply(made.name, i.Status.OK, total))
+    store = only_store(gateway)
+    for n, (status, added) in enumerate([(i.Status.TIMEOUT, False), (i.Status.OK, True)]):
+        gateway.handle(11.1 + n, request(f"s{n}", 4.0))
+        made, before = call(gateway, 11.1 + n), store.fleet
+        total += made.amount if added else 0.0
+        gateway.handle(11.6 + n, i.CounterReply(made.name, status, total))
+    assert store.fleet >= before and store.others < 20.0              # nobody charged those 20 a second time
+
+
 def counted(gateways: list[Gateway], totals: dict[int, float], now: float) -> None:
     """Half a second in which the counter answers each call at once."""
     for gateway in gateways:
--- a/thymeflow/account.py
+++ b/thymeflow/account.py
@@ -40,12 +40,13 @@
         """What others asked and charged since the last reading, by a total with our `mine` in it, and over how long.
 
         Under another name, or where the counter has begun anew (what is asked never falls), the total holds what
-        came since the window began; then also a call that got no answer may not be in it.
+        came since the window began. A call that got no answer may not have been added after all.
         """
         unsure = self.unsure[1] if self.unsure[0] == name else 0.0
-        rise, since = total - self.total - mine - unsure, self.read
-        if name != self.name or counts.fallen(rise):
-            rise, since = total - mine - unsure, now - counts.age(customer, now)
-            rise += unsure if counts.fallen(rise) else 0.0
+        before, since = self.total, self.read
+        if name != self.name or counts.fallen(total - before):
+            before, since = 0.0, now - counts.age(customer, now)
+        rise = total - before - mine - unsure
+        rise += unsure if counts.fallen(rise) else 0.0
         self.name, self.total, self.read, self.unsure = name, total, now, (-1, 0.0)
         return *(counts.unpack(name, rise) if not counts.fallen(rise) else (0.0, 0.0)), max(0.0, now - since)
