Lend more than the set holds where that costs nothing, as before

Line at fault: the new condition in Store.fair, which asked the same of all plans, where a belief is seconds old.

Change: a plan without a price beyond its quota is lent by the lot alone, as before; a test asks both ways.

Sets of up to four limiters never come here.

--- a/tests/test_large_fleet.py
+++ b/tests/test_large_fleet.py
@@ -70,6 +70,13 @@
     assert shares[0] > shares[1] > shares[2] > 0.0
 
 
+def test_what_the_set_does_not_hold_is_lent_only_where_that_costs_nothing() -> None:
+    for cost, lent in ((0.6, 0.0), (0.0, 0.5)):
+        store = member(0.05, 1.0, replace(SMALL, over_cost=cost))
+        store.fleet = 1.0                              # of the two units that are asked for
+        assert (share(store) > lent) == (lent > 0.0)
+
+
 def test_forty_that_are_refused_together_spread_their_tries_and_back_off() -> None:
     tries: list[tuple[float, int]] = []
     for number in range(40):
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -21,7 +21,7 @@
 HEARD_FOR = 2.0        # s: carriers silent for longer are not believed and slices go back to even
 SPARE = 0.4            # of the burst beyond a usual request: level at which the fleet is kept when all ask
 CAUTION = 2.0          # times the quota is thought used, at least, where only demand is told and no level
-HOLD = (5.0, 80.0)     # s: memory of told demand: one for each limiter of a set, as it is met that much less
+HOLD = (5.0, 40.0)     # s: memory of told demand: one for each limiter of a set, as it is met that much less
 START_LEVEL = 0.5      # of the burst: level after a start, for what earlier lives or peers may have spent
 CALLS = (0.5, 120.0, 200.0)  # counter calls a second: least, most, and what all gateways start with
 FORGET = 20.0          # s: idle customers are dropped (their stores are full again before); over a window
@@ -129,7 +129,8 @@
         lean = max(least, most * self.plan.over_cost / (self.plan.over_cost + half))
         heard = self.at - self.heard <= HEARD_FOR
         spare = max(0.0, self.fleet - units) / SPEND if heard else 0.0
-        return units <= self.fleet and chance * lean * demand <= self.plan.rate + spare
+        held = units <= self.fleet or (heard and not self.plan.over_cost)   # else more costs nothing
+        return held and chance * lean * demand <= self.plan.rate + spare
 
     def room(self, units: float, chance: float) -> bool:   # whether store, guard and open attempts admit it
         plan, part = self.plan, self.part(self.own)
