--- a/tests/test_state.py
+++ b/tests/test_state.py
@@ -62,6 +62,9 @@
     for name in ("level", "fleet", "own", "others", "asked", "charged", "ahead", "lump", "count", "members"):
         assert getattr(store, name) == pytest.approx(getattr(before, name)), name
     assert store.account == before.account
+    data = record.pack(found)
+    store.account.lost(5, 3.0)
+    assert record.pack(found) == data                     # what a life goes on to hear does not change its past
 
 
 @given(st.floats(0.0, 6.0), st.floats(0.5, 60.0), st.floats(0.0, 25.0), st.booleans(), st.integers(1, 4))
--- a/thymeflow/state/meaning.py
+++ b/thymeflow/state/meaning.py
@@ -87,7 +87,7 @@
     store.at, store.seen = at, now
     store.level, store.fleet = min(record.level, plan.burst), min(record.fleet, plan.burst)
     store.own, store.others = max(0.0, record.own), max(0.0, record.others)
-    store.asked, store.charged, store.account = record.asked, record.charged, record.account
+    store.asked, store.charged, store.account = record.asked, record.charged, replace(record.account)
     store.lump, store.excess, store.memory = record.lump, record.excess, record.memory
     store.members, store.count, store.gathers = list(record.members), max(1, record.count), record.gathers
     store.guard = min(record.guard, plan.ceiling_burst / store.count)
