Hear discovery by one clock, read its messages as JSON objects, be back at once where pushed

`Pauses.next` waited up to 5 s after a broken watch and up to 150 s after failures at 200 limiters, where a change counts as told after 6 s at any size of the set; `_watched` set `_heard` at the connect, so that a new watch that said nothing had 6 s more; `Body` cut at line ends, so that an indented list was "unreadable" and ended the watch; a whole list asked for went through the watch's `_line` and could set version and list back; an entry with an unknown lifecycle spoilt its whole message for good.

One clock of when discovery was heard; where nothing is said in time another watch is opened beside, three at most, and the first to speak is kept, so that a slow agent is heard all the same. Pushed lists: 4.5 s of silence (two empty lines), tries at most 0.3 s apart. Asked for: waits of at most 4 s, half of that at least once they grow. A generation that goes back is told and not taken; a whole list asked for touches neither watch nor what was told since. An unknown lifecycle gets nothing new.

--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -69,7 +69,8 @@
         self.on_list: Callable[[config.Listed], None] = lambda news: None   # who keeps the list beside us
         self.changed(given.known)
         self.discovery = Discovery(reactor, self.deadlines, given.discovery, given.known.membership.version,
-                                   self.changed, settings.gateways, given.seed)
+                                   self.changed, settings.gateways, given.seed,
+                                   settings.discovery is api.Discovery.PUSH)
         self.core.discovery, self.upstream.look = self.discovery, self.discovery.look
         self.discovery.on_told = self.told
         self.on_told: Callable[[], None] = lambda: None   # who waits for the list beside us
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -18,6 +18,7 @@
 
 from thymeflow import interface as api
 from thymeflow.drill import settings_from
+from thymeflow.net import log
 
 STATES = {"active": api.BackendState.READY, "leaving": api.BackendState.DRAINING,
           "left": api.BackendState.GONE}
@@ -98,7 +99,10 @@
     """A message in discovery's form; ValueError, KeyError or TypeError where it is not."""
     backends, addresses = [], {}
     for entry in message["instances"]:
-        number, state = application_server_number(entry["instanceId"]), STATES[entry["lifecycle"]]
+        number, lifecycle = application_server_number(entry["instanceId"]), entry["lifecycle"]
+        state = STATES.get(lifecycle, api.BackendState.DRAINING)
+        if lifecycle not in STATES:     # a later discovery's word: whether it wants new work is not known, so none
+            log.say("discovery", f"{entry['instanceId']}: lifecycle {lifecycle!r} is unknown, nothing new goes there")
         weight, started = float(entry.get("weight", 1.0)), float(entry.get("startedAtMs", 0))
         if not (isfinite(weight) and weight >= 0.0 and isfinite(started)):
             raise ValueError("weight or startedAtMs is no number")   # NaN would spread through the scores
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -1,8 +1,12 @@
-"""The watch on discovery: an HTTP/1.1 answer that never ends, a JSON object on each line.
+"""The watch on discovery: an HTTP/1.1 answer that never ends, with a JSON object for each change.
 
-What is known holds while discovery is silent. A broken watch starts again from the last version, so
-nothing is missed and nothing is asked for twice. Discovery is one service for the whole set, and what
-breaks one watch breaks most of them: each asks again at a moment of its own, ever later until it is heard.
+What is known holds while discovery is silent. A broken watch starts again from the last version, so nothing is
+missed and nothing is asked for twice. There is one clock of silence, by when discovery was last heard: a watch that
+is new and says nothing has no more of it than the one before.
+
+Where lists are pushed, discovery is an agent on this machine, and what it has counts as told whether or not we are
+connected: we are back at once. Where they are asked for, it is one service for the whole set, and what breaks one
+watch breaks most of them: each asks again at a moment of its own, later as that fails, and in time all the same.
 """
 
 from __future__ import annotations
@@ -18,127 +22,30 @@
 from thymeflow.net import clock, log
 from thymeflow.net.clock import STALL
 from thymeflow.net.config import Address, Listed, listed
+from thymeflow.net.http import Body, HttpError
 from thymeflow.net.link import Stream, dial, unread
 
-SILENCE = 6.0               # s: empty lines come every 2 s, so this long without one is a break
-LOOK, MOMENT = 0.5, 0.01    # s: between looks at a watch; past its silence, at which it is looked at
+SILENCE = 6.0               # s: what a watch misses that has fallen silent counts as told by then
+BEATS = 4.5                 # s: two empty lines of an agent on this machine have not come: its watch is silent
 CONNECT = 1.0               # s: to connect
-FIRST = 1.0                 # s: for the first word; the agent is on this machine, and one that is silent for so long
-#                             has lost discovery: what it would tell is not to be had, and user agents wait for nothing
-PAUSE = 0.3                 # s: most before the first try after a break, in a small set
-SPACING = (0.025, 0.75)     # s for each limiter of the set: over it their first tries are spread, and later ones
+FIRST = 1.0                 # s: until user agents are let in by the list as it is known, where nothing was heard
+WORD = (0.5, 2.0)           # s: without a first word, after which another watch is opened beside; pushed, asked for
+MOST_TRIES = 3              # watches open or being opened, of which the first to speak is kept
+PAUSE = 0.3                 # s: most before the next try, where lists are pushed or the set is small
+SPACING = 0.025             # s for each limiter of the set: over it first tries at a crowded service are spread
+LONGEST = SILENCE - CONNECT - FIRST   # s: most between tries: with the dial and its first word told in time
 GROWTH = 4.0                # times the bound with each failure: a crowded service also works on who has left
 MOST_LOOKS = 64             # times a socket's buffer read at once, so that a torrent does not hold the turn
-MOST_HEAD = 8 * 1024        # bytes of an answer's head
-MOST_LINE = 4 * 2**20       # bytes of one message: a list of thousands
-
-
-class HttpError(Exception):
-    """The answer is no HTTP/1.1 that we can read."""
-
-
-class Body:
-    """Takes an HTTP/1.1 answer apart, without I/O; gives the lines of its body as they come."""
-
-    def __init__(self) -> None:
-        self._held = bytearray()
-        self._head_read = False
-        self._left = 0              # bytes of the present chunk, or of the body; -1: until the end
-        self._chunked = False
-        self._after_chunk = False
-        self._line = bytearray()
-        self.done = False
-
-    def feed(self, data: bytes) -> list[bytes]:
-        """The lines that these bytes complete; the last one needs no end of line."""
-        self._held += data
-        lines: list[bytes] = []
-        while not self.done and self._step(lines):
-            if len(self._line) > MOST_LINE:
-                raise HttpError("line too long")
-        if self.done and self._line:
-            lines.append(bytes(self._line))
-            self._line.clear()
-        return lines
-
-    def _step(self, lines: list[bytes]) -> bool:
-        if not self._head_read:
-            return self._head()
-        if self._left:
-            return self._take(lines)
-        if not self._chunked:
-            self.done = True
-            return False
-        return self._chunk()
-
-    def _head(self) -> bool:
-        end = self._held.find(b"\r\n\r\n")
-        if end < 0:
-            if len(self._held) > MOST_HEAD:
-                raise HttpError("head too long")
-            return False
-        first, *fields = bytes(self._held[:end]).split(b"\r\n")
-        del self._held[:end + 4]
-        words = first.split(b" ", 2)
-        if not words[0].startswith(b"HTTP/1.") or len(words) < 2:
-            raise HttpError("no HTTP/1 answer")
-        if words[1] != b"200":
-            raise HttpError(f"status {words[1][:16].decode('ascii', 'replace')}")
-        named = {name.strip().lower(): value.strip().lower() for name, _, value in
-                 (f.partition(b":") for f in fields)}
-        self._chunked = named.get(b"transfer-encoding", b"").endswith(b"chunked")
-        length = named.get(b"content-length")
-        if not self._chunked:
-            if length is not None and not length.isdigit():
-                raise HttpError("bad length")
-            self._left = -1 if length is None else int(length)
-        self._head_read = True
-        return True
-
-    def _chunk(self) -> bool:
-        end = self._held.find(b"\r\n")
-        if end < 0:
-            if len(self._held) > 1024:
-                raise HttpError("chunk head too long")
-            return False
-        text = bytes(self._held[:end]).partition(b";")[0].strip()
-        if self._after_chunk and end == 0:      # the end of line that closes a chunk
-            del self._held[:2]
-            self._after_chunk = False
-            return True
-        if self._after_chunk or not text or len(text) > 8:
-            raise HttpError("bad chunk")
-        try:
-            self._left = int(text, 16)
-        except ValueError:
-            raise HttpError("bad chunk") from None
-        if self._left < 0:
-            raise HttpError("bad chunk")
-        del self._held[:end + 2]
-        self.done = self._left == 0
-        return not self.done
-
-    def _take(self, lines: list[bytes]) -> bool:
-        if not self._held:
-            return False
-        part = bytes(self._held if self._left < 0 else self._held[:self._left])
-        del self._held[:len(part)]
-        if self._left > 0:
-            self._left -= len(part)
-            self._after_chunk = self._left == 0 and self._chunked
-        *whole, rest = (bytes(self._line) + part).split(b"\n") if self._line else part.split(b"\n")
-        lines.extend(line.rstrip(b"\r") for line in whole)
-        self._line = bytearray(rest)
-        return True
 
 
 class Reading(Stream):
     """One GET and its answer."""
 
-    def __init__(self, path: str, host: Address, line: Callable[[bytes], None],
-                 ended: Callable[[str], None]) -> None:
-        self._path, self._host, self._line, self._ended = path, host, line, ended
+    def __init__(self, path: str, host: Address, message: Callable[[Reading, bytes], None],
+                 ended: Callable[[Reading, str], None]) -> None:
+        self._path, self._host, self._message, self._ended = path, host, message, ended
         self._body, self._over = Body(), False
+        self.heard = 0.0            # when some of the body came last
 
     def connectionMade(self) -> None:
         """Ask."""
@@ -147,13 +54,17 @@
                    "Accept: application/json\r\n\r\n".encode())
 
     def dataReceived(self, data: bytes) -> None:
-        """Pass the lines on as they are complete."""
+        """Pass the messages on as they are complete."""
         try:
-            for line in self._body.feed(data):
-                if not self._over:
-                    self._line(line)
+            found = self._body.feed(data)
         except HttpError as fault:
             self.end(str(fault))
+            return
+        if self._body.begun:
+            self.heard = clock.now()
+        for message in found:
+            if not self._over:
+                self._message(self, message)
         if self._body.done:
             self.end("the answer has ended")
 
@@ -166,25 +77,28 @@
         if not self._over:
             self._over = True
             self.transport.abortConnection()
-            self._ended(why)
+            self._ended(self, why)
 
 
 class Pauses:
-    """How long to wait before the next try: full jitter below a bound that grows with each failure."""
+    """Back-off between tries, with jitter; nowhere so long that a change could count as told before it is heard."""
 
-    def __init__(self, gateways: int, seed: int) -> None:
-        self._rng, self._most = random.Random(seed), 0.0   # the bound now
-        self.resized(gateways)
+    def __init__(self, limiters: int, seed: int, pushed: bool) -> None:
+        self._rng, self._pushed = random.Random(seed), pushed
+        self._bound = 0.0           # s: now
+        self.resized(limiters)
 
-    def resized(self, gateways: int) -> None:
+    def resized(self, limiters: int) -> None:
         """The set is of another size: the bounds follow."""
-        self._first, self._last = max(PAUSE, SPACING[0] * gateways), SPACING[1] * gateways
-        self._most = max(self._first, min(self._last, self._most))
+        self._first = PAUSE if self._pushed else min(LONGEST, max(PAUSE, SPACING * limiters))
+        self._last = PAUSE if self._pushed else LONGEST
+        self._bound = max(self._first, min(self._last, self._bound))
 
     def next(self) -> float:
-        """Seconds to wait now; the bound is higher next time."""
-        most, self._most = self._most, max(self._first, min(self._last, GROWTH * self._most))
-        return most * self._rng.random()
+        """Seconds to wait now; the bound is higher next time, and then half of it at the least."""
+        bound, self._bound = self._bound, min(self._last, GROWTH * self._bound)
+        least = 0.0 if bound <= self._first else 0.5 * bound
+        return least + (bound - least) * self._rng.random()
 
     def soon(self) -> float:
         """Seconds to wait where a watch fell silent: nobody said that discovery is crowded, and time runs out.
@@ -197,29 +111,32 @@
 
     def served(self) -> None:
         """A watch was served: the next break is a new one."""
-        self._most = self._first
+        self._bound = self._first
 
 
 class Discovery:
     """The list as discovery tells it."""
 
     def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address, version: int,
-                 changed: Callable[[Listed], None], gateways: int, seed: int) -> None:
+                 changed: Callable[[Listed], None], limiters: int, seed: int, pushed: bool = True) -> None:
         self._reactor, self._deadlines, self._address = reactor, deadlines, address
-        self.pauses = Pauses(gateways, seed)
+        self.pauses = Pauses(limiters, seed, pushed)
+        self._pushed = pushed
+        self._silence, self._word = (BEATS, WORD[0]) if pushed else (SILENCE, WORD[1])
         self._version, self._changed = version, changed
-        self._watching: Reading | None = None
         self.told = False           # a first word was heard, or is not to be had: the list is as good as it gets
         self.on_told: Callable[[], None] = lambda: None
-        self._silent = False        # it is we who ended the watch, as it had fallen silent
-        self._turn = 0              # number of the present watch; what is said of earlier ones is old
-        self._heard = 0.0
+        self._watching: Reading | None = None   # the watch that spoke last, and is not silent
+        self._open: list[Reading] = []          # all that are open, the oldest first
+        self._dialling = 0
+        self._turn = 0              # of the address; what is said of an earlier one is old
+        self._waiting = False       # a try is due
+        self._due: clock.Entry = []             # by when discovery has to be heard
 
     def start(self, by: float) -> None:
         """Begin to watch, and go on for good; `by` when to go on without a first word."""
         self._deadlines.at(by, self._unheard)
-        self._watch(0)
-        self._look(0)
+        self._try(0)
 
     def _unheard(self, _: int) -> None:
         now = clock.now()
@@ -238,82 +155,149 @@
 
     def look(self) -> None:
         """Read what waits to be read, as after a stall: it counts as told, and holds for what is sent from now on."""
-        for _ in range(MOST_LOOKS):
-            if self._watching is None or not unread(self._watching.transport):
-                return
-            if self._watching.transport.doRead() is not None:
-                return                # it has ended, which the reactor finds too
+        for reading in list(self._open):
+            for _ in range(MOST_LOOKS):
+                if not unread(reading.transport) or reading.transport.doRead() is not None:
+                    break             # all is read; or it has ended, which the reactor finds too
 
     def move(self, address: Address) -> None:
         """Watch at another address from now on; the list and its version stay."""
-        old, self._watching = self._watching, None
-        self._address, self._turn = address, self._turn + 1
-        if old is not None:
-            old.end("moved")
-        self._watch(self._turn)
+        old, self._open, self._watching = self._open, [], None
+        self._address, self._turn, self._dialling = address, self._turn + 1, 0
+        self.pauses.served()
+        for reading in old:
+            reading.end("moved")
+        self._try(self._turn)
+
+    def _hear_by(self, when: float) -> None:
+        if self._due:
+            self._deadlines.cancel(self._due)
+        self._due = self._deadlines.at(when, self._quiet, self._turn)
 
-    def _watch(self, turn: int) -> None:
+    def _try(self, turn: int) -> None:
         if turn != self._turn:
             return
+        self._waiting = False
+        while self._open and len(self._open) + self._dialling >= MOST_TRIES:
+            self._open.pop(0).end("it said nothing")
+        self._hear_by(clock.now() + self._word)
+        if self._dialling >= MOST_TRIES:
+            return
+        self._dialling += 1
         path = f"/api/targets?stream=1&index={self._version}"
 
-        def broken(why: str) -> None:
-            self._broken(turn, why)
+        def ended(reading: Reading, why: str) -> None:
+            self._ended(turn, reading, why)
 
         dialling = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
-                       lambda: Reading(path, self._address, self._line, broken))
-        dialling.addCallbacks(self._watched, lambda failure: broken(failure.getErrorMessage()),
-                              callbackArgs=(turn,))
+                       lambda: Reading(path, self._address, self._told, ended))
+        dialling.addCallbacks(self._up, self._not_up, callbackArgs=(turn,), errbackArgs=(turn,))
 
-    def _watched(self, reading: Reading, turn: int) -> None:
+    def _up(self, reading: Reading, turn: int) -> None:
         if turn != self._turn:      # moved while it was dialled
             reading.end("moved")
             return
-        self._watching, self._heard = reading, clock.now()
+        self._dialling -= 1
+        self._open.append(reading)
+        if self._watching is not None:          # another has spoken meanwhile
+            reading.end("there is another")
+
+    def _not_up(self, failure: Failure, turn: int) -> None:
+        if turn == self._turn:
+            self._dialling -= 1
+            self._broken(failure.getErrorMessage())
+
+    def _ended(self, turn: int, reading: Reading, why: str) -> None:
+        if turn != self._turn or reading not in self._open:
+            return
+        self._open.remove(reading)
+        if self._watching in (None, reading):
+            self._watching = None
+            self._broken(why)
 
-    def _look(self, _: int) -> None:
-        now = clock.now()
-        if self._watching is not None and now - self._heard > SILENCE:
-            self._silent = True
-            self._watching.end(f"silent for {SILENCE:g} s")
-        due = self._heard + SILENCE + MOMENT
-        self._deadlines.at(min(now + LOOK, due) if due > now else now + LOOK, self._look)
+    def _broken(self, why: str) -> None:
+        log.say("discovery", f"watch at {self._address} broke: {why}", address=self._address, version=self._version)
+        if self._watching is None:
+            self._again(self.pauses.next())
+
+    def _again(self, pause: float) -> None:
+        if not self._waiting:
+            self._waiting = True
+            self._deadlines.at(clock.now() + pause, self._try, self._turn)
 
-    def _broken(self, turn: int, why: str) -> None:
+    def _quiet(self, turn: int) -> None:
+        # Nothing was heard for as long as a watch may be silent: another one is opened, beside those that are.
         if turn != self._turn:
             return
-        self._watching, self._turn = None, turn + 1
-        log.say("discovery", f"watch at {self._address} broke: {why}", address=self._address, version=self._version)
-        pause = self.pauses.soon() if self._silent else self.pauses.next()
-        self._silent = False
-        self._deadlines.at(clock.now() + pause, self._watch, self._turn)
-
-    def _line(self, line: bytes) -> None:
-        self._heard = clock.now()
+        now, watch = clock.now(), self._watching
+        if watch is not None and watch.heard + self._silence > now:
+            self._hear_by(watch.heard + self._silence)
+            return
+        if watch is not None:
+            log.say("discovery", f"watch at {self._address} is silent for {self._silence:g} s", address=self._address,
+                    version=self._version)
+            self._watching = None
+            self._again(self.pauses.soon())
+        self._hear_by(now + self._word)
+        if watch is None:
+            self._again(0.0 if self._pushed else self.pauses.next())
+
+    def _told(self, reading: Reading, message: bytes) -> None:
         self.pauses.served()
-        if not line.strip():
-            self._tell()
+        if self._watching is not reading:
+            others, self._watching, self._open = self._open, reading, [reading]
+            for other in others:
+                if other is not reading:
+                    other.end("there is another")
+            self._hear_by(reading.heard + self._silence)
+        change = self._read(message)
+        if message and change is None:
+            # The list stands. What this message held is asked for again, from the version before it.
+            reading.end("unreadable message")
             return
+        if change is not None:
+            self._take(change)
+        self._tell()
+
+    @staticmethod
+    def _read(message: bytes) -> Listed | None:
+        if not message:
+            return None
         try:
-            change = listed(json.loads(line))
+            return listed(json.loads(message))
         except (ValueError, KeyError, TypeError, AttributeError, OverflowError, RecursionError) as fault:
-            # The list stands. What this line held is asked for again, from the version before it.
-            log.say("discovery", f"unreadable line: {fault!r}")
-            if self._watching is not None:
-                self._watching.end("unreadable line")
+            log.say("discovery", f"unreadable message: {fault!r}")
+            return None
+
+    def _take(self, change: Listed) -> None:
+        version = change.membership.version
+        if version < self._version:
+            # Told by one that lags, or late: what came after it was told already, and holds.
+            log.say("discovery", f"generation {version} is behind {self._version}, which was told: not taken",
+                    version=self._version)
             return
-        self._version = change.membership.version
+        self._version = version
         self._changed(change)
-        self._tell()
 
     def fetch(self) -> None:
-        """Ask for the whole list once; a failure leaves the old one."""
+        """Ask for the whole list once, beside the watch; a failure leaves list and watch as they are."""
+        due: list[clock.Entry] = []
+
+        def told(reading: Reading, message: bytes) -> None:
+            change = self._read(message)
+            if change is not None:
+                self._take(change)
+
+        def ended(reading: Reading, why: str) -> None:
+            for entry in due:
+                self._deadlines.cancel(entry)
+
+        def up(reading: Reading) -> None:
+            due.append(self._deadlines.at(clock.now() + SILENCE, lambda _: reading.end("late")))
+
         def failed(_: Any) -> None:
             log.say("discovery", f"no list from {self._address}")
 
-        def reading(made: Reading) -> None:
-            self._deadlines.at(clock.now() + SILENCE, lambda _: made.end("late"))
-
         dialling = dial(self._reactor, self._deadlines, self._address, clock.now() + CONNECT,
-                       lambda: Reading("/api/targets", self._address, self._line, lambda _: None))
-        dialling.addCallbacks(reading, failed)
+                       lambda: Reading("/api/targets", self._address, told, ended))
+        dialling.addCallbacks(up, failed)
