See user agents leave in every state, linger at each close, look again at passes that waited

`_pace` stops reading at 64 open commands, untaken answers and once `finish` was called, so the end was not seen at all there; `_end` called `loseConnection` over unread bytes, which resets (seen on loopback: sends after the end fail with a broken pipe); `finish` was called in the middle of a command that came in pieces; one `doRead` takes one connection of the accept queue after a quiet time; a full table dropped connections on which bytes waited; `_release` wrote passes to connections that came late without a look at who still waits or at the window of a keyed repeat. Ruled out: Nagle, `Stream` sets TCP_NODELAY.

`Order.latest` carries the end of a keyed repeat's window to the moment of writing. The queue is emptied whole.

--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -36,6 +36,8 @@
 
     def __init__(self, transport: Any) -> None:
         self.transport, self.most, self.unread = transport, 10**6, b""
+        self.departed = False       # the other end has closed
+        self.half_closed = False
 
     def send(self, data: bytes) -> int:
         if not self.most:
@@ -48,7 +50,8 @@
             raise BlockingIOError
         return self.unread[:most]
 
-    def shutdown(self, how: int) -> None: ...
+    def shutdown(self, how: int) -> None:
+        self.half_closed = True
 
     def setsockopt(self, level: int, name: int, value: int) -> None: ...
 
@@ -73,6 +76,7 @@
         transport.getHandle = lambda: transport.handle
         transport.setTcpNoDelay = lambda on: None
         transport.registerProducer = lambda producer, streaming: None
+        protocol.departed = lambda: transport.handle.departed
         protocol.makeConnection(transport)
         return protocol
 
--- a/thymeflow/interface.py
+++ b/thymeflow/interface.py
@@ -8,7 +8,7 @@
 
 from dataclasses import dataclass, field
 from enum import Enum, IntEnum
-from math import isfinite
+from math import inf, isfinite
 from typing import NamedTuple, Union
 
 
@@ -369,11 +369,12 @@
 
 
 class Send(NamedTuple):
-    """Start an attempt; a timeout of 0 lasts until the client gives up."""
+    """Start an attempt; a timeout of 0 lasts until the client gives up. It may begin `within` so many seconds."""
 
     id: str
     backend: int
     timeout: float = 0.0
+    within: float = inf
 
 
 class Refuse(NamedTuple):
--- a/thymeflow/net/core.py
+++ b/thymeflow/net/core.py
@@ -51,26 +51,31 @@
 class Offer(NamedTuple):
     """A transaction as a front hands it in; `payload` is what the upstream will know how to pass on.
 
-    One whose body still comes has no deadline (inf) until `Core.whole` is told.
+    One whose body still comes has no deadline (inf) until `Core.whole` is told. `present` is asked before each proxy
+    pass: whoever has left is served nothing more, also where the front could not read of it yet.
     """
 
     request: api.Request
     deadline: float
     payload: object
     size: int
+    present: Callable[[], bool] = lambda: True
 
 
 class Order(NamedTuple):
     """A proxy pass for the upstream to make.
 
     `began` takes a long answer, and says whether anybody wants it. With None it is told that a long body goes
-    into this pass, and so into no other.
+    into this pass, and so into no other. One that has to wait is not written past `latest`, nor where nobody is
+    `present` any more.
     """
 
     backend: int
     payload: object
     deadline: float
     began: Callable[[Flow | None], bool] = lambda flow: False
+    latest: float = inf
+    present: Callable[[], bool] = lambda: True
 
 
 class Outcome(NamedTuple):
@@ -271,6 +276,8 @@
             log.say("module", f"proxy pass for {action.id}, which is over")
             return
         number, transaction.passes = transaction.passes, transaction.passes + 1
+        if not transaction.answered and not transaction.offer.present():
+            self._left(self._by_id[transaction.id])
         moot = (transaction.answered or number >= transaction.most
                 or now >= transaction.deadline)
         deadline = transaction.deadline
@@ -281,7 +288,8 @@
             return
         going = self.upstream.begin(Order(
             action.backend, transaction.offer.payload, deadline,
-            lambda flow: self._began(transaction, number, action.backend, now, flow)))
+            lambda flow: self._began(transaction, number, action.backend, now, flow),
+            now + action.within, transaction.offer.present))
         transaction.out[number] = going
         going.addCallback(self._ended, transaction, number, action.backend, now)
         going.addErrback(self._broken)
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -9,6 +9,7 @@
 import contextlib
 import socket
 from collections import deque
+from heapq import nlargest
 from math import inf
 from typing import Any
 
@@ -40,6 +41,7 @@
 DISCARD = 256 * 1024   # bytes that are read meanwhile and thrown away
 MORE = (resp.Part, resp.Closed, resp.End)   # of a long value
 LATE = 0.005           # s: less than that a request has waited unread in any turn
+FEW = 8                # connections looked at for one that may be dropped to make room
 MOST_GOING = 24        # connections dropped to make room whose descriptors are not free yet
 
 
@@ -80,8 +82,7 @@
         self.handle = -1
         self._reading = True        # what we told the transport
         self._last = False          # close once all is answered
-        self._lingers = False       # and then first let the other end read the error line
-        self._ended = False         # all is said; what still comes is thrown away
+        self._ended = False         # all is said, and our end closed; what still comes is thrown away
         self._dropped = False       # its slot was given to another
         self._spoken = False        # a whole command has come
         self._asked = False         # a request has come; whoever says PING alone is not served by staying
@@ -158,7 +159,7 @@
         if fault and (not self._last or self._body is not None):
             self._garbled(fault)
         self._flush()
-        if self._front.emptying and (self._asked or self._front.closing):
+        if self._front.emptying and (self._asked or self._front.closing) and not self._parser.amid():
             self.finish()
 
     def _long(self, begin: resp.Begin) -> None:
@@ -207,7 +208,6 @@
     def _garbled(self, fault: str) -> None:
         # Where the next command begins is not known any more: one line, then the end.
         log.say("user agent garbled", fault)
-        self._lingers = True
         self._drop_body()
         self._front.taken_in(-self._parser.held())
         self._parser = resp.Parser()
@@ -244,7 +244,9 @@
         idle = self.idle(now)
         if self._front.emptying and idle > FRESH:
             kept = 0.0              # who asks nothing at once is sent away, and who says PING often stays
-        if self._ended or not self.flushed:
+        if not self._reading and self.departed():
+            self.transport.abortConnection()
+        elif self._ended or not self.flushed:
             if idle > LINGER if self._ended else now - self._moved > STUCK:
                 self.transport.abortConnection()
         elif self._body is not None:
@@ -302,9 +304,13 @@
         if body is None and self._moved - self._came > LATE:
             # Its time runs from when it reached this machine: what a stall took of it is gone.
             request = request._replace(remaining=deadline - self._moved)
-        place.due = core.take(Offer(request, deadline, call, size))
+        place.due = core.take(Offer(request, deadline, call, size, self.present))
         place.due.addCallbacks(self._answered, lambda _: None, callbackArgs=(place,))
 
+    def present(self) -> bool:
+        """Whether it is still there, also where we do not read, or our turn came late."""
+        return not self.departed()
+
     def _say(self, line: bytes) -> None:
         self._places.append(Place(line))
 
@@ -365,18 +371,14 @@
     def broken(self) -> None:
         """The rest will not come: a close tells the user agent that the value is not whole."""
         log.say("cut short", "a long answer broke off on its way; the user agent's connection was closed")
-        self._places.popleft()
-        self._last = self._ended = True
-        self._since = clock.now()
-        self.transport.unregisterProducer()
-        self.transport.loseConnection()
+        self._last = True
+        self._forget()
+        self._end()
 
     def _end(self) -> None:
-        if not self._lingers:
-            self.transport.unregisterProducer()
-            self.transport.loseConnection()
-        elif self.flushed:
-            # A close with bytes unread would reset the connection, and the error line might go with it.
+        # Lingering close: one over bytes that are unread would reset the connection, and take with it what the user
+        # agent has not read. What comes from now on crosses our close, and is its to send again elsewhere.
+        if self.flushed and not self._ended:
             self._ended, self._since = True, clock.now()
             with contextlib.suppress(OSError):
                 self.transport.getHandle().shutdown(socket.SHUT_WR)
@@ -393,18 +395,22 @@
         """The user agent has left; none of its requests is owed an answer any more."""
         self._last = True
         self._drop_body()
-        places, self._places = self._places, deque()
-        self._hold(-self._held)
         self._front.taken_in(-self._parser.held())
         self._parser = resp.Parser()
         self._front.agents.remove(self.handle)
         self._front.going -= self._dropped
+        self._forget()
+        self._front.gone()
+
+    def _forget(self) -> None:
+        # Nothing can be answered here any more.
+        places, self._places = self._places, deque()
+        self._hold(-self._held)
         for place in places:
             if place.due is not None and place.answer is None:
                 place.due.cancel()
             elif place.flow is not None:
                 place.flow.abandon()
-        self._front.gone()
 
 
 class Front(Factory):
@@ -420,6 +426,7 @@
         self._most = most
         self.agents: Table[UserAgent] = Table(most)
         self.going = 0
+        self.met = 0                # connections accepted so far, those closed at once included
         self.emptying = False       # a connection ends with its last answer, or as it falls idle
         self.closing = False        # and no new one is taken
         self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered with yes
@@ -429,13 +436,16 @@
 
     def buildProtocol(self, addr: Any) -> UserAgent | None:
         """A new connection, unless the descriptors are used up or we are about to end."""
+        self.met += 1
         if self.closing:
             return None
         if self.agents.full():
             # Many user agents ask once and stay, and others say nothing: who has least use of its place goes.
             now = clock.now()
-            least = max(self.agents.all(), key=lambda agent: agent.spare(now))
-            if not least.spare(now) or self.going >= MOST_GOING:
+            # Bytes that wait there may be a request, which a close would lose.
+            least = next((agent for agent in nlargest(FEW, self.agents.all(), key=lambda agent: agent.spare(now))
+                          if agent.spare(now) and not unread(agent.transport)), None)
+            if least is None or self.going >= MOST_GOING:
                 log.say("user agents", f"all {len(self.agents)} connections are in use; a new one was closed",
                         connections=len(self.agents))
                 return None
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -7,6 +7,7 @@
 
 from thymeflow.net import clock, log, phases
 from thymeflow.net.core import Core
+from thymeflow.net.door import BACKLOG
 from thymeflow.net.front import Front
 from thymeflow.net.phases import Phase, Word
 
@@ -106,8 +107,10 @@
 
     def _close(self, _: int) -> None:
         if self.port is not None:
-            if self.takes():
-                self.port.doRead()   # who waits in the queue would be reset with it
+            met, most = -1, self._front.met + BACKLOG
+            while self.takes() and met < self._front.met < most:   # who waits in the queue would be reset with it
+                met = self._front.met
+                self.port.doRead()   # some of them at a time
             self.port.stopListening()
         self._closed, self._lingers = True, False
         self._front.close()
--- a/thymeflow/net/link.py
+++ b/thymeflow/net/link.py
@@ -10,6 +10,7 @@
 from __future__ import annotations
 
 import contextlib
+import select
 import socket
 from collections.abc import Callable
 from typing import Any, TypeVar
@@ -37,6 +38,11 @@
     return True
 
 
+# That the other end has closed, also where bytes that came before that wait unread: reading alone tells it only
+# behind them, and not at all while nothing is read.
+_CLOSED = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
+
+
 @implementer(IPullProducer)
 class Stream(Protocol):
     """A connection, made by us or to us."""
@@ -60,6 +66,15 @@
     def stopProducing(self) -> None:
         """The transport will write no more; `connectionLost` says the rest."""
 
+    def departed(self) -> bool:
+        """Whether the other end has closed, read or not."""
+        number = self.transport.fileno()
+        if number < 0:
+            return True
+        look = select.poll()
+        look.register(number, _CLOSED)
+        return bool(look.poll(0))
+
     def narrow(self) -> None:
         """Hold little on the way, here and in the kernel: a long value's sender goes at its reader's pace.
 
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -324,11 +324,25 @@
             self.count -= 1
         elif not self._usable(connection):
             return                    # each waiting pass has a dial of its own
-        elif pool.waiting:
-            self._pass_on(connection, pool.waiting.popleft())
         else:
-            connection.since = clock.now()
+            self._serve(connection)
+
+    def _serve(self, connection: Connection) -> None:
+        # The first that waits and still stands goes over it; a connection may have come up late, or never.
+        pool, void, now = connection.pool, list[int](), clock.now()
+        while pool.waiting:
+            handle = pool.waiting.popleft()
+            going = self._passes.get(handle)
+            assert going is not None
+            if now < min(going.order.deadline, going.order.latest) and going.order.present():
+                self._pass_on(connection, handle)
+                break
+            void.append(handle)
+        else:
+            connection.since = now
             pool.idle.append(connection)
+        for handle in void:     # the server did nothing wrong: it is not held against it
+            self._end(handle, Outcome(api.Status.MOOT))
 
     def _pass_on(self, connection: Connection, handle: int) -> None:
         going = self._passes.get(handle)
--- a/thymeflow/policy.py
+++ b/thymeflow/policy.py
@@ -338,7 +338,7 @@
             return "places"
         return "pressure" if self.rng.random() < self.order(job, pressure.shed(lack, self.pressure)) else ""
 
-    def send(self, job: Work, server: Server) -> None:   # start an attempt
+    def send(self, job: Work, server: Server, within: float = inf) -> None:   # start an attempt
         job.attempts.append((server, self.now))
         server.out, server.gap, server.since = server.out + 1, self.now - server.since, self.now
         self.out, job.store.open = self.out + 1, job.store.open + 1
@@ -347,7 +347,7 @@
             wait = TRIAL * min(job.cls.aim, job.end - self.now)
             server.health.update({part: (n, self.now + wait) for part, (n, _) in server.health.items()
                                   if part in ("", job.cls.name) and n >= FAILURES})
-        self.actions.append(api.Send(job.request.id, server.entry.id, wait))
+        self.actions.append(api.Send(job.request.id, server.entry.id, wait, within))
 
     def further(self, job: Work) -> bool:   # one more, if rules, time and budget allow it
         ran, effect = job.ran(), job.cls.effect
@@ -357,7 +357,7 @@
         server = None if barred or self.now > end - MARGIN else self.choose(job)
         if server is not None:
             self.budget -= float(bool(ran))
-            self.send(job, server)
+            self.send(job, server, end - MARGIN - self.now)   # a repeat counts when it arrives
         return server is not None
 
     def on_ended(self, event: api.AttemptEnded) -> None:   # learn, settle, see to the request
