Refuse another limiter's file at SIGHUP, end what a drain took before it may be killed

Cause: by reading. `config.complete` looked for missing keys only, so that a whole file of another customer was taken at SIGHUP, classes, plans and place in the set with it, and the open requests of all plans in force were refused from then on. The operators' place wrote without TCP_NODELAY. In `Court._steer` a level that rounds to nothing hid the line that shedding begins: seen once in the suite on a busy machine, and on the code before in the new test.

--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -109,6 +109,15 @@
         return not select.select([self.sock], [], [], seconds)[0]
 
 
+def refused(limiter: Limiter) -> bool:
+    """Whether a user agent cannot connect."""
+    try:
+        limiter.connect().close()
+    except ConnectionRefusedError:
+        return True
+    return False
+
+
 class Limiter:
     """The program, its configuration and its listening peers; use it as a context."""
 
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -16,7 +16,7 @@
 from thymeflow import interface as i
 from thymeflow.net import clock
 from thymeflow.net.config import Address, Listed, listed
-from thymeflow.net.discovery import BEATS, CONNECT, FIRST, LONGEST, PAUSE, SILENCE, WORD, Discovery, Pauses
+from thymeflow.net.discovery import CONNECT, FIRST, HEARTBEATS, LONGEST, PAUSE, SILENCE, WORD, BackOff, Discovery
 from thymeflow.net.http import Body, HttpError, Messages
 
 HEAD = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -77,18 +77,18 @@
 @given(st.sampled_from([1, 3, 30, 200, 1000]), st.booleans(), st.integers(0, 99))
 def test_no_wait_lets_a_change_count_as_told_before_it_is_heard(limiters: int, pushed: bool, seed: int) -> None:
     # Of the 6 s: a dial that hangs, the wait, and the first word of the next; pushed, of a drain's grace.
-    pauses = Pauses(limiters, seed, pushed)
-    waits = [pauses.next() for _ in range(30)]
+    back_off = BackOff(limiters, seed, pushed)
+    waits = [back_off.next() for _ in range(30)]
     assert max(waits) <= (PAUSE if pushed else LONGEST) and CONNECT + LONGEST + FIRST <= SILENCE
-    pauses.served()
-    assert pauses.next() <= (PAUSE if pushed else max(PAUSE, 0.025 * limiters))
+    back_off.reset()
+    assert back_off.next() <= (PAUSE if pushed else max(PAUSE, 0.025 * limiters))
 
 
 def test_forty_that_are_refused_together_spread_their_tries_and_back_off_and_none_waits_past_the_bound() -> None:
     tries: list[tuple[float, int]] = []
     for number in range(40):
-        pauses, now = Pauses(40, number, False), 0.0
-        while (now := now + pauses.next()) < 60.0:   # all refused for a minute
+        back_off, now = BackOff(40, number, False), 0.0
+        while (now := now + back_off.next()) < 60.0:   # all refused for a minute
             tries.append((now, number))
     slots = Counter(int(when / 0.1) for when, _ in tries)
     assert max(slots.values()) <= 12, "the first tries come together"
@@ -181,7 +181,7 @@
     begun(world, lambda news: None, pushed)
     first = up(world, 0)
     first.dataReceived(EMPTY)
-    assert dialled_after(world, 1) < (BEATS if pushed else SILENCE) + PAUSE + 0.02
+    assert dialled_after(world, 1) < (HEARTBEATS if pushed else SILENCE) + PAUSE + 0.02
     second = up(world, 1)               # connects, and stays silent as the first does
     assert dialled_after(world, 2) <= (WORD[0] if pushed else WORD[1] + LONGEST) + 0.02
     third = up(world, 2)
@@ -208,10 +208,10 @@
     discovery = begun(world, told.append, pushed=False)
     old = up(world, 0)
     for _ in range(5):
-        discovery.pauses.next()
+        discovery.back_off.next()
     discovery.move(Address("127.0.0.1", 9))
     assert old.ends and world.reactor.tcpClients[1][1] == 9     # at once
-    assert discovery.pauses.next() <= LONGEST and discovery.pauses._bound > discovery.pauses._first - 1e-9
+    assert discovery.back_off.next() <= LONGEST and discovery.back_off._bound > discovery.back_off._first - 1e-9
     old.dataReceived(chunk(message(50, entry(1))))
     assert not told
     up(world, 1).dataReceived(chunk(message(51, entry(1))))
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import json
 import select
 import signal
 from collections.abc import Callable
@@ -16,12 +17,13 @@
 import pytest
 
 from tests import helpers
-from tests.limiter import PATIENCE, Limiter, command, request
+from tests.limiter import PATIENCE, SETTINGS, Limiter, command, refused, request
 from tests.test_net_parts import World, change, good, limiter_of, order, upstream, world
 from thymeflow import interface as i
 from thymeflow.net import clock
 from thymeflow.net.front import IDLE, KEPT, LINGER
-from thymeflow.net.lifecycle import Lifecycle
+from thymeflow.net.lifecycle import LINGER as LINGER_TERM
+from thymeflow.net.lifecycle import PATIENT, Lifecycle
 from thymeflow.net.phases import Phase
 
 GOOD = good(b"value")
@@ -29,14 +31,6 @@
 __all__ = ["world"]
 
 
-def refused(limiter: Limiter) -> bool:
-    try:
-        limiter.connect().close()
-    except ConnectionRefusedError:
-        return True
-    return False
-
-
 def stopped(limiter: Limiter, happens: Callable[[], None]) -> None:
     """What happens while the process does not run: it finds all of it in one turn."""
     limiter.process.send_signal(signal.SIGSTOP)
@@ -241,3 +235,32 @@
     assert first.within == inf
     again, = helpers.sends(gateway.handle(0.1, helpers.ended("k", first, i.Status.ERROR)))
     assert 0.25 < again.within < helpers.KEYED.window - 0.1
+
+
+def test_what_comes_while_it_is_told_to_end_is_answered_before_it_may_be_killed(world: World) -> None:
+    limiter, agent = agent_of(world)
+    lifecycle = Lifecycle(world.deadlines, limiter.core, limiter.front, 60.0, lambda: None)
+    lifecycle.phase = Phase.SERVING
+    lifecycle.terminate()
+    told = clock.now()
+    agent.dataReceived(request(1, wait=60000))
+    server = world.up(len(world.reactor.tcpClients) - 1)
+    assert server.transport.value()
+    while not agent.transport.value().startswith(b"-BUSY"):     # the server says nothing
+        world.reactor.advance(0.05)
+    assert clock.now() - told < LINGER_TERM + PATIENT and server.closed
+
+
+@pytest.mark.parametrize(("changed", "why"), [
+    ({"name": "n7"}, "name"),
+    ({"settings": {**SETTINGS, "tiers-of-service": [{"name": "guest"}]}}, "another customer")])
+def test_a_configuration_of_another_limiter_changes_nothing(tmp_path: Path, changed: dict[str, Any], why: str) -> None:
+    with Limiter(tmp_path) as limiter:
+        settings = changed.get("settings", SETTINGS)
+        plans = [{**plan, "refill": 5.0, "most-at-once": 5.0} for plan in settings["tiers-of-service"]]
+        limiter.path.write_text(json.dumps(
+            {**limiter.config, **changed, "settings": {**settings, "tiers-of-service": plans}}))
+        limiter.process.send_signal(signal.SIGHUP)
+        line = limiter.log("reload:")
+        assert "the old settings stay" in line and why in line
+        limiter.served(limiter.connect(), 1)
--- a/tests/test_level.py
+++ b/tests/test_level.py
@@ -10,6 +10,7 @@
 from typing import Any
 
 import pytest
+from twisted.internet.testing import MemoryReactorClock
 
 from tests.helpers import PLAN, SAFE, fleet, request, sends, settings
 from tests.limiter import PATIENCE, Limiter
@@ -17,6 +18,8 @@
 from tests.test_overload import Crowd, Serving
 from thymeflow import Gateway
 from thymeflow import interface as i
+from thymeflow.fleet.court import Court
+from thymeflow.net import clock, log
 from thymeflow.overload.level import BEAT, FALL, HEARD, LEASE, MOST, RISE, TURN, Level, Order, Shedding
 from thymeflow.policy import RETRY
 from thymeflow.pressure import PRESSED
@@ -127,6 +130,24 @@
     assert back <= 12.0
 
 
+@pytest.mark.parametrize("levels", [(0.2, 0.0), (0.0004, 0.2, 0.0004, 0.0), (0.0, 0.001, 0.0)])
+def test_shedding_begins_and_is_over_in_the_log_however_little_it_begins_with(
+        levels: tuple[float, ...], monkeypatch: pytest.MonkeyPatch) -> None:
+    lines = list[str]()
+    monkeypatch.setattr(log, "note", lambda kind, text, **fields: lines.append(text.split(":")[0]))
+    court = Court(clock.Deadlines(MemoryReactorClock()), 1.0, lambda name, message: None)  # type: ignore[no-untyped-call]
+
+    def beat(now: float) -> float:
+        court._level.level = next(coming)
+        return court._level.level
+
+    coming = iter(levels)
+    monkeypatch.setattr(court._level, "beat", beat)
+    for _ in levels:
+        court._steer(0.0)
+    assert lines == ["shedding by order begins", "shedding by order is over"]
+
+
 def test_a_real_fleet_sheds_as_one_while_its_servers_are_slow_and_is_back_by_itself(tmp_path: Path) -> None:
     classes = [{"name": "look", "on-time": 0.5, "deadline": 3000.0, "effect": "retryable"}]
     with Limiter(tmp_path, servers=4, classes=classes) as limiter, FleetOf(tmp_path, limiter) as members, \
--- a/tests/test_start.py
+++ b/tests/test_start.py
@@ -16,12 +16,12 @@
 
 import pytest
 
-from tests.limiter import PATIENCE, SETTINGS, Limiter, Peer, command, request
+from tests.limiter import PATIENCE, SETTINGS, Limiter, Peer, command, refused, request
 from tests.test_net_parts import World, world
 from thymeflow.net import clock
 from thymeflow.net.assembly import Limiter as Assembled
 from thymeflow.net.config import Address, from_source
-from thymeflow.net.discovery import BEATS, FIRST, SILENCE, Discovery
+from thymeflow.net.discovery import FIRST, HEARTBEATS, SILENCE, Discovery
 from thymeflow.net.door import bound
 from thymeflow.net.door import opened as opened_at
 from thymeflow.net.link import Stream, dial
@@ -32,14 +32,6 @@
 __all__ = ["world"]
 
 
-def refused(limiter: Limiter) -> bool:
-    try:
-        limiter.connect().close()
-    except ConnectionRefusedError:
-        return True
-    return False
-
-
 def opened(limiter: Limiter) -> Peer:
     """A connection, as soon as there is one to be had."""
     limiter.log("listening:")
@@ -260,4 +252,4 @@
     fell = clock.now()
     while len(world.reactor.tcpClients) == 1:
         world.reactor.advance(0.01)
-    assert 0.0 < clock.now() - fell - (BEATS if pushed else SILENCE) < 0.4
+    assert 0.0 < clock.now() - fell - (HEARTBEATS if pushed else SILENCE) < 0.4
--- a/thymeflow/fleet/court.py
+++ b/thymeflow/fleet/court.py
@@ -78,7 +78,7 @@
         self._deadlines.at(clock.now() + BEAT, self._beat)
 
     def _steer(self, now: float) -> None:
-        before = self._level.level
+        before = round(self._level.level, 3)     # as it was told: a trace that rounds to nothing began nothing
         level = round(self._level.beat(now), 3)
         if (level > 0.0) != (before > 0.0):
             log.note("overload", f"shedding by order {'begins' if level else 'is over'}: the back end's pressure is "
--- a/thymeflow/net/assembly.py
+++ b/thymeflow/net/assembly.py
@@ -92,7 +92,7 @@
         self.front.reader = Reader(settings)
         self.core.resettled(settings)
         self.upstream.limits = settings.limits
-        self.discovery.pauses.resized(settings.gateways)
+        self.discovery.back_off.resized(settings.gateways)
         self.lifecycle.longest = max(self.lifecycle.longest, longest_of(settings))
 
     def start(self) -> None:
--- a/thymeflow/net/config.py
+++ b/thymeflow/net/config.py
@@ -135,9 +135,14 @@
 
 
 def complete(given: Config, before: Config) -> None:
-    """ConfigError where the file lacks what the one in force has: it was cut, or written by half."""
+    """ConfigError where the file lacks what the one in force has, as one that was cut, or is not this limiter's."""
     if missing := sorted(before.keys - given.keys, key=lambda path: (path.count("."), path)):
         raise ConfigError(f"{given.path}: {missing[0]} is missing, though the settings in force have it")
+    if given.name != before.name:
+        raise ConfigError(f"{given.path}: name: it is {given.name!r}'s, and this limiter is {before.name!r}")
+    plans = {plan.name for plan in before.settings.plans}
+    if plans and plans.isdisjoint(plan.name for plan in given.settings.plans):
+        raise ConfigError(f"{given.path}: settings.tiers-of-service: none is a plan in force: another customer's file")
 
 
 def load(environment: Mapping[str, str] = os.environ) -> Config:
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -26,7 +26,7 @@
 from thymeflow.net.link import Stream, dial, unread
 
 SILENCE = 6.0               # s: what a watch misses that has fallen silent counts as told by then
-BEATS = 4.5                 # s: two empty lines of an agent on this machine have not come: its watch is silent
+HEARTBEATS = 4.5                 # s: two empty lines of an agent on this machine have not come: its watch is silent
 CONNECT = 1.0               # s: to connect
 FIRST = 1.0                 # s: until user agents are let in by the list as it is known, where nothing was heard
 WORD = (0.5, 2.0)           # s: without a first word, after which another watch is opened beside; pushed, asked for
@@ -80,7 +80,7 @@
             self._ended(self, why)
 
 
-class Pauses:
+class BackOff:
     """Back-off between tries, with jitter; nowhere so long that a change could count as told before it is heard."""
 
     def __init__(self, limiters: int, seed: int, pushed: bool) -> None:
@@ -109,7 +109,7 @@
         """
         return PAUSE * self._rng.random()
 
-    def served(self) -> None:
+    def reset(self) -> None:
         """A watch was served: the next break is a new one."""
         self._bound = self._first
 
@@ -120,9 +120,9 @@
     def __init__(self, reactor: Any, deadlines: clock.Deadlines, address: Address, version: int,
                  changed: Callable[[Listed], None], limiters: int, seed: int, pushed: bool = True) -> None:
         self._reactor, self._deadlines, self._address = reactor, deadlines, address
-        self.pauses = Pauses(limiters, seed, pushed)
+        self.back_off = BackOff(limiters, seed, pushed)
         self._pushed = pushed
-        self._silence, self._word = (BEATS, WORD[0]) if pushed else (SILENCE, WORD[1])
+        self._silence, self._word = (HEARTBEATS, WORD[0]) if pushed else (SILENCE, WORD[1])
         self._version, self._changed = version, changed
         self.told = False           # a first word was heard, or is not to be had: the list is as good as it gets
         self.on_told: Callable[[], None] = lambda: None
@@ -164,7 +164,7 @@
         """Watch at another address from now on; the list and its version stay."""
         old, self._open, self._watching = self._open, [], None
         self._address, self._turn, self._dialling = address, self._turn + 1, 0
-        self.pauses.served()
+        self.back_off.reset()
         for reading in old:
             reading.end("moved")
         self._try(self._turn)
@@ -218,7 +218,7 @@
     def _broken(self, why: str) -> None:
         log.say("discovery", f"watch at {self._address} broke: {why}", address=self._address, version=self._version)
         if self._watching is None:
-            self._again(self.pauses.next())
+            self._again(self.back_off.next())
 
     def _again(self, pause: float) -> None:
         if not self._waiting:
@@ -237,13 +237,13 @@
             log.say("discovery", f"watch at {self._address} is silent for {self._silence:g} s", address=self._address,
                     version=self._version)
             self._watching = None
-            self._again(self.pauses.soon())
+            self._again(self.back_off.soon())
         self._hear_by(now + self._word)
         if watch is None:
-            self._again(0.0 if self._pushed else self.pauses.next())
+            self._again(0.0 if self._pushed else self.back_off.next())
 
     def _told(self, reading: Reading, message: bytes) -> None:
-        self.pauses.served()
+        self.back_off.reset()
         if self._watching is not reading:
             others, self._watching, self._open = self._open, reading, [reading]
             for other in others:
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -300,9 +300,10 @@
         if body is not None:
             call = call._replace(flow=body)
         size = OVERHEAD + len(call.before) + len(call.after) + len(call.body or b"")
-        deadline = self._came + request.remaining if body is None else inf
-        if body is None and self._moved - self._came > LATE:
-            # Its time runs from when it reached this machine: what a stall took of it is gone.
+        deadline = min(self._came + request.remaining, self._front.until) if body is None else inf
+        if body is None and (self._moved - self._came > LATE or deadline == self._front.until):
+            # Its time runs from when it reached this machine: what a stall took of it is gone, as is what comes
+            # after the end of a process that was told to end.
             request = request._replace(remaining=deadline - self._moved)
         place.due = core.take(Offer(request, deadline, call, size, self.present))
         place.due.addCallbacks(self._answered, lambda _: None, callbackArgs=(place,))
@@ -429,6 +430,7 @@
         self.met = 0                # connections accepted so far, those closed at once included
         self.emptying = False       # a connection ends with its last answer, or as it falls idle
         self.closing = False        # and no new one is taken
+        self.until = inf            # when this process ends, however long a request may wait
         self.able: Any = lambda: False      # set by the lifecycle: whether PING is answered with yes
         self.why: Any = lambda: "starting"  # likewise: why not
         self.gone: Any = lambda: None       # likewise: a user agent has left
--- a/thymeflow/net/lifecycle.py
+++ b/thymeflow/net/lifecycle.py
@@ -13,6 +13,8 @@
 
 LINGER = 0.7    # s after SIGTERM: user agents still come and are served, as they have not been told yet
 SENT_ON = 0.5   # s after `evacuate`: the front asks every 0.1 s, and sends on for 0.2 s more
+PATIENT = 3.0   # s: we may be killed LINGER and the longest deadline after SIGTERM, this if that is longer (PROTOCOL)
+REST = 0.2      # s: so long before that all is answered that came after SIGTERM
 EXTRA = 1.0     # s past the longest deadline: a user agent that never takes its answer is left behind
 
 
@@ -96,7 +98,9 @@
         if self.phase not in (Phase.DRAINING, Phase.STOPPED):
             self._lingers = self.phase is Phase.SERVING
             self._enter(Phase.DRAINING)
-            stays = clock.now() + (self._linger if linger is None else linger)
+            now = clock.now()
+            self._front.until = now + LINGER + min(self.longest, PATIENT) - REST
+            stays = now + (self._linger if linger is None else linger)
             self._deadlines.at(stays, self._close)
             self._deadlines.at(stays + self.longest + EXTRA, self._end)
 
--- a/thymeflow/net/management.py
+++ b/thymeflow/net/management.py
@@ -43,7 +43,8 @@
         self.handle, self.since = -1, clock.now()
 
     def connectionMade(self) -> None:
-        """Take a place, and a deadline."""
+        """Take a place, and a deadline; the answer leaves at once."""
+        self.transport.setTcpNoDelay(True)
         self.handle = self._management.place(self)
 
     def dataReceived(self, data: bytes) -> None:
--- a/thymeflow/net/reload.py
+++ b/thymeflow/net/reload.py
@@ -2,7 +2,8 @@
 
 Discovery and the counter move to other addresses with nothing lost: the list and its version stay, and
 calls that are out end where they went. Settings hold for what is taken from now on; what is open keeps those
-that it was taken under. Addresses to listen on, the name and the limits wait for the next start.
+that it was taken under. Addresses to listen on and the limits wait for the next start. A file with another name, or
+with none of the plans in force, is another limiter's and changes nothing.
 """
 
 from __future__ import annotations
@@ -56,7 +57,7 @@
         if given.settings != before.settings:
             log.note("reload", f"settings taken: {differences(before.settings, given.settings)}")
             self._resettled(given.settings)
-        fixed = ("name", "listen", "management", "sockets", "memory")
+        fixed = ("listen", "management", "sockets", "memory")
         changed = [name for name in fixed if getattr(given, name) != getattr(before, name)]
         if changed:
             log.note("reload", f"{', '.join(changed)} differ and hold from the next start")
