Strand no pass whose connection ends as it comes up

Each pass that waits has a dial of its own; where that dial came up and the connection had ended already, or brought a line at once (a server that has no room left), _release returned without a word: dialing was less by one and the pass waited without a dial until its own deadline, all of the client's time. Change: that dial counts as one that failed, and the longest waiting pass ends as not connected. Ruled out: a connection that came free and cannot be used again (its passes have their own dials).

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -229,6 +229,16 @@
     assert [end.status for end in ends] == [i.Status.MOOT, i.Status.OK] and not server.closed
 
 
+def test_a_connection_that_ends_as_it_comes_up_strands_no_pass(world: World) -> None:
+    made, ends = upstream(world)
+    made.begin(order()).addCallback(ends.append)
+    made.begin(order()).addCallback(ends.append)
+    world.up(0, unread=b"-BUSY\r\n")               # no room there: it says so at once, or closes
+    assert [end.status for end in ends] == [i.Status.CONNECT_FAILED] and made.count == 1
+    world.up(1).dataReceived(good(b"v"))
+    assert [end.status for end in ends] == [i.Status.CONNECT_FAILED, i.Status.OK]
+
+
 def test_a_keyed_repeat_may_only_begin_while_its_window_lasts() -> None:
     gateway = helpers.started()
     first, = helpers.sends(gateway.handle(0.0, helpers.request("k", class_name="book")))
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -64,15 +64,16 @@
         monkeypatch.setattr(clock, "now", lambda: 1e9 + self.reactor.seconds())
         self.deadlines = clock.Deadlines(self.reactor)
 
-    def up(self, number: int) -> Any:
+    def up(self, number: int, unread: bytes = b"") -> Any:
         """The dial of that number succeeds; the protocol, with the handle of its socket."""
         *_, factory, _, _ = self.reactor.tcpClients[number]
-        return self.connected(factory.buildProtocol(None))
+        return self.connected(factory.buildProtocol(None), unread)
 
-    def connected(self, protocol: Any) -> Any:
-        """The protocol on a connection in memory."""
+    def connected(self, protocol: Any, unread: bytes = b"") -> Any:
+        """The protocol on a connection in memory, with bytes that wait there."""
         transport: Any = StringTransport()   # type: ignore[no-untyped-call]
         transport.handle = Handle(transport)
+        transport.handle.unread = unread
         transport.getHandle = lambda: transport.handle
         transport.setTcpNoDelay = lambda on: None
         transport.registerProducer = lambda producer, streaming: None
--- a/thymeflow/net/upstream.py
+++ b/thymeflow/net/upstream.py
@@ -312,6 +312,9 @@
     def _not_dialled(self, failure: Any, pool: Pool) -> None:
         pool.dialing, self.count = pool.dialing - 1, self.count - 1
         log.say("connect failed", f"{pool.address}: {failure.getErrorMessage()}", address=pool.address)
+        self._dial_void(pool)
+
+    def _dial_void(self, pool: Pool) -> None:
         # Each waiting pass has a dial of its own, but any connection that came free may have served it.
         if len(pool.waiting) > pool.dialing:
             self._end(pool.waiting.popleft(), Outcome(api.Status.CONNECT_FAILED))
@@ -323,7 +326,7 @@
             connection.hang_up()
             self.count -= 1
         elif not self._usable(connection):
-            return                    # each waiting pass has a dial of its own
+            self._dial_void(pool)     # it ended as it came up, and was the dial of a pass that waits
         else:
             self._serve(connection)
 
