--- a/tests/limiter.py
+++ b/tests/limiter.py
@@ -15,6 +15,7 @@
 import subprocess
 import sys
 import tempfile
+import threading
 import time
 from pathlib import Path
 from typing import Any
@@ -183,9 +184,15 @@
     def log(self, part: str) -> str:
         """The next log line that holds the part."""
         assert self.process.stderr is not None
-        for line in self.process.stderr:
-            if part in line:
-                return line.strip()
+        # One that never comes must not hold the suite: a process that is killed ends its log.
+        patience = threading.Timer(3.0 * PATIENCE, self.process.kill)
+        patience.start()
+        try:
+            for line in self.process.stderr:
+                if part in line:
+                    return line.strip()
+        finally:
+            patience.cancel()
         raise AssertionError(f"the log ended without {part!r}")
 
     def connect(self) -> Peer:
--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -14,7 +14,7 @@
 
 from tests.test_net_parts import World, world
 from thymeflow import interface as i
-from thymeflow.net import clock
+from thymeflow.net import clock, log
 from thymeflow.net.config import Address, Listed, listed
 from thymeflow.net.discovery import CONNECT, FIRST, HEARTBEATS, LONGEST, PAUSE, SILENCE, WORD, BackOff, Discovery
 from thymeflow.net.http import Body, HttpError, Messages
@@ -135,14 +135,17 @@
     assert told[1].membership.backends[0].state is i.BackendState.DRAINING
 
 
-def test_a_generation_that_goes_back_changes_nothing_and_the_watch_goes_on(world: World) -> None:
-    told: list[Listed] = []
+def test_a_generation_that_goes_back_changes_nothing_and_the_watch_goes_on(
+        world: World, monkeypatch: pytest.MonkeyPatch) -> None:
+    told, said = list[Listed](), list[str]()
+    monkeypatch.setattr(log, "say", lambda kind, text, **fields: said.append(text))
     begun(world, told.append)
     reading = up(world, 0)
     for change in (message(43, entry(1, "leaving")), message(42, entry(1), whole=True), message(41), EMPTY,
                    message(44, entry(2))):
         reading.dataReceived(chunk(change) if change is not EMPTY else EMPTY)
     assert [news.membership.version for news in told] == [43, 44] and not reading.ends
+    assert [text.split(",")[0] for text in said] == ["generation 42 is behind 43", "generation 41 is behind 43"]
 
 
 def test_a_whole_list_asked_for_that_comes_late_or_spoilt_leaves_list_and_watch(world: World) -> None:
--- a/thymeflow/drill.py
+++ b/thymeflow/drill.py
@@ -10,6 +10,7 @@
 import json
 import sys
 from collections.abc import Callable
+from dataclasses import MISSING, fields
 from typing import Any, TextIO
 
 from thymeflow import Gateway, gateway_of
@@ -32,6 +33,9 @@
         except i.Senseless as fault:
             raise ValueError(f"settings.{where}.{names.get(fault.name, fault.name)}: {fault.value!r} "
                              "makes no sense") from None
+        except TypeError:
+            lacking = [names[f.name] for f in fields(cls) if f.default is MISSING and names[f.name] not in source]
+            raise ValueError(f"settings.{where}: {lacking[0]} is missing") from None
 
     classes = tuple(
         part(i.RequestClass, f"classes[{n}]", c,
