--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -35,7 +35,7 @@
         broken = [chunk(message(90, leaves)[:-9]), chunk(b"{}\n"), chunk(b"[]\n"), chunk(b"null\n"),
                   chunk(b"\xff\xfe\n"), chunk(message("x", leaves)), chunk(message(90, odd)),
                   chunk(b'{"generation":90,"instances":[7]}\n'), b"zz\r\n", b"-5\r\n", b"3\r\nabcdefgh\r\n",
-                  b"0\r\n\r\n"]
+                  b"0\r\n\r\n", chunk(b'{"a":' * 30000 + b"1" + b"}" * 30000)]
         for number, bad in enumerate(broken):
             watch.send(bad)
             if number == 0:
--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -6,7 +6,9 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
+import resource
 import select
 import signal
 from collections.abc import Callable
@@ -274,3 +276,25 @@
         line = limiter.log("reload:")
         assert "the old settings stay" in line and why in line
         limiter.served(limiter.connect(), 1)
+
+
+def test_idle_clients_that_fill_the_descriptors_leave_those_of_discovery_and_servers_free(tmp_path: Path) -> None:
+    with Limiter(tmp_path, sockets=64) as limiter:
+        watch, _ = limiter.watch()
+        resource.prlimit(limiter.process.pid, resource.RLIMIT_NOFILE, (64, 64))     # a descriptor more is an error
+        crowd = [limiter.connect() for _ in range(100)]
+        watch.close()
+        again, asked = limiter.watch()
+        assert b"index=41 " in asked
+        limiter.tell(again, 42, limiter.entry(0))
+        served, number = False, 0
+        while not served:                       # one that comes while all places are new may be closed unread
+            agent, number = limiter.connect(), number + 1
+            assert number < 1000
+            with contextlib.suppress(OSError):
+                agent.send(request(number))
+            ready = select.select([agent.sock, limiter.servers[0].sock], [], [], PATIENCE)[0]
+            if limiter.servers[0].sock in ready:
+                limiter.servers[0].serve(GOOD)
+                served = agent.bulk() == b"value"
+        assert len(crowd) == 100
