Count a first request's time from its last byte where nothing of ours stood still

Change: only what comes whole within 0.1 s of the connection counts as that old; a stall since then is known to the heap of deadlines. Ruled out: commands on connections that have spoken.

--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -20,7 +20,7 @@
 
 from tests import helpers
 from tests.limiter import PATIENCE, SETTINGS, Limiter, command, refused, request
-from tests.test_net_parts import World, change, good, limiter_of, order, upstream, world
+from tests.test_net_parts import World, change, good, limiter_of, order, upstream, words, world
 from thymeflow import interface as i
 from thymeflow.net import clock
 from thymeflow.net.front import IDLE, KEPT, LINGER
@@ -263,6 +263,20 @@
     assert clock.now() - told < LINGER_TERM + PATIENT and server.closed
 
 
+@pytest.mark.parametrize("pieces", [1, 3])
+def test_the_first_request_of_a_connection_has_its_time_from_its_last_byte_on(world: World, pieces: int) -> None:
+    _, agent = agent_of(world)
+    text = request(1, wait=500)
+    for piece in range(pieces):
+        world.reactor.pump([0.1] * 6)               # it rests, or writes slowly: no stall of ours
+        agent.dataReceived(text[piece * 30:] if piece == pieces - 1 else text[piece * 30:piece * 30 + 30])
+    server = world.up(len(world.reactor.tcpClients) - 1)
+    told = words(server.transport.value())[3]
+    assert b",d=49" in told or b",d=500" in told
+    server.dataReceived(GOOD)
+    assert agent.transport.value() == b"$5\r\nvalue\r\n"
+
+
 @pytest.mark.parametrize(("changed", "why"), [
     ({"name": "n7"}, "name"),
     ({"settings": {**SETTINGS, "tiers-of-service": [{"name": "guest"}]}}, "another customer")])
--- a/thymeflow/net/front.py
+++ b/thymeflow/net/front.py
@@ -137,8 +137,10 @@
         before, amid = self._parser.held(), self._parser.amid()
         found, fault = self._parser.feed(data)
         self._moved = clock.now()
-        # What comes first on a connection may have come as early as that did.
-        self._came = min(self._front.deadlines.since(self._moved), inf if self._spoken else self._came)
+        # What comes first on a connection may have come as early as that did, where that was a moment ago: a stall
+        # since then is known. What comes slowly or after a rest has its time from its last byte on.
+        new = not self._spoken and not amid and self._moved - self._since < clock.STALL
+        self._came = min(self._front.deadlines.since(self._moved), self._came if new else inf)
         if found or not amid:
             self._begun = self._moved
         for value in found:
