Wait for a first list that comes in pieces, and open no other watch over it

Change: while something of an answer comes, no other try is begun. Measured: tests/test_discovery.py, 28 passed.

--- a/tests/test_discovery.py
+++ b/tests/test_discovery.py
@@ -206,6 +206,16 @@
     assert sum(not reading.ends for reading in readings) == 1
 
 
+def test_a_first_list_that_comes_in_pieces_for_long_is_waited_for(world: World) -> None:
+    told: list[Listed] = []
+    begun(world, told.append)
+    reading, whole = up(world, 0), message(43, entry(1), whole=True, indent=1)
+    for place in range(0, len(whole), 10):
+        world.reactor.advance(0.4)
+        reading.dataReceived(chunk(whole[place:place + 10]))
+    assert len(told) == len(world.reactor.tcpClients) == 1 and not reading.ends
+
+
 def test_after_a_move_nothing_that_was_grown_or_dialled_at_the_old_address_counts(world: World) -> None:
     told: list[Listed] = []
     discovery = begun(world, told.append, pushed=False)
--- a/thymeflow/net/discovery.py
+++ b/thymeflow/net/discovery.py
@@ -233,6 +233,9 @@
         if watch is not None and watch.heard + self._silence > now:
             self._hear_by(watch.heard + self._silence)
             return
+        if watch is None and any(reading.heard + self._word > now for reading in self._open):
+            self._hear_by(now + self._word)     # a list comes in pieces
+            return
         if watch is not None:
             log.say("discovery", f"watch at {self._address} is silent for {self._silence:g} s", address=self._address,
                     version=self._version)
