--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -11,6 +11,8 @@
 import resource
 import select
 import signal
+import socket
+import struct
 from collections.abc import Callable
 from math import inf
 from pathlib import Path
@@ -19,7 +21,7 @@
 import pytest
 
 from tests import helpers
-from tests.limiter import PATIENCE, SETTINGS, Limiter, command, refused, request
+from tests.limiter import PATIENCE, SETTINGS, Limiter, Peer, command, refused, request
 from tests.test_net_parts import World, change, good, limiter_of, order, upstream, words, world
 from thymeflow import interface as i
 from thymeflow.net import clock
@@ -55,7 +57,8 @@
         limiter.served(other, 4, server)            # what comes next at the server is this one
 
 
-def test_no_further_pass_begins_for_one_that_left_in_the_same_turn(tmp_path: Path) -> None:
+@pytest.mark.parametrize("reset", [False, True])
+def test_no_further_pass_begins_for_one_that_left_in_the_same_turn(tmp_path: Path, reset: bool) -> None:
     with Limiter(tmp_path, servers=2) as limiter:
         agent = limiter.connect()
         agent.send(request(1))
@@ -63,6 +66,9 @@
         server = limiter.servers[number].accept()
         server.words()
 
+        if reset:
+            agent.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+
         def leaves() -> None:
             server.send(ERROR)
             agent.close()
@@ -72,6 +78,35 @@
         assert limiter.servers[1 - number].quiet(0.0) and limiter.servers[number].quiet(0.0)
 
 
+def test_a_pass_is_not_written_to_a_connection_that_came_up_as_its_sender_left(tmp_path: Path) -> None:
+    with Limiter(tmp_path) as limiter:
+        agent, other, listener = limiter.connect(), limiter.connect(), limiter.servers[0].sock
+        listener.listen(0)
+        filling = [socket.socket() for _ in range(2)]       # its queue is full: nobody else comes up
+        for sock in filling:
+            sock.setblocking(False)
+            sock.connect_ex(listener.getsockname())
+        agent.send(request(1))
+        limiter.until(b"+PONG", command(b"PING"))           # so that request was read, and its connection begun
+        server: list[Peer] = []
+
+        def comes_up_and_leaves() -> None:
+            ports = {sock.getsockname()[1] for sock in filling}
+            listener.listen(100)                            # room for all that knock again
+            while not server:                               # the kernel tries again, about once a second
+                peer = limiter.servers[0].accept()
+                if peer.sock.getpeername()[1] in ports:
+                    peer.close()
+                else:
+                    server.append(peer)
+            agent.close()
+
+        stopped(limiter, comes_up_and_leaves)
+        limiter.served(other, 2, server[0])                 # nothing was written before it
+        for sock in filling:
+            sock.close()
+
+
 def test_one_that_leaves_during_the_drain_is_seen_though_nothing_is_read_from_it(tmp_path: Path) -> None:
     with Limiter(tmp_path, servers=2) as limiter:
         agent = limiter.connect()
