--- a/tests/test_endings.py
+++ b/tests/test_endings.py
@@ -28,6 +28,7 @@
 from thymeflow.net.front import IDLE, KEPT, LINGER
 from thymeflow.net.lifecycle import LINGER as LINGER_TERM
 from thymeflow.net.lifecycle import PATIENT, Lifecycle
+from thymeflow.net.management import Management
 from thymeflow.net.phases import Phase
 
 GOOD = good(b"value")
@@ -211,6 +212,16 @@
     assert limiter.core.open() == 0
 
 
+def test_no_connection_holds_small_writes_back(world: World) -> None:
+    limiter, agent = agent_of(world)
+    limiter.connect(clock.now() + 1.0)          # discovery and the counter
+    agent.dataReceived(request(1))              # a server
+    callers = Management(world.deadlines, lambda word: (True, ""))
+    made = [agent, world.connected(callers.buildProtocol(None)),
+            *(world.up(number) for number in range(len(world.reactor.tcpClients)))]
+    assert len(made) == 2 + 1 + 3 + 1 and all(one.transport.handle.no_delay for one in made)
+
+
 def test_a_full_table_drops_no_connection_on_which_bytes_wait(world: World) -> None:
     front = limiter_of(world, 64).front
     agents = [world.connected(front.buildProtocol(None)) for _ in range(front._most)]
--- a/tests/test_net_parts.py
+++ b/tests/test_net_parts.py
@@ -37,7 +37,7 @@
     def __init__(self, transport: Any) -> None:
         self.transport, self.most, self.unread = transport, 10**6, b""
         self.departed = False       # the other end has closed
-        self.half_closed = False
+        self.half_closed = self.no_delay = False
 
     def send(self, data: bytes) -> int:
         if not self.most:
@@ -75,7 +75,7 @@
         transport.handle = Handle(transport)
         transport.handle.unread = unread
         transport.getHandle = lambda: transport.handle
-        transport.setTcpNoDelay = lambda on: None
+        transport.setTcpNoDelay = lambda on: setattr(transport.handle, "no_delay", on)
         transport.registerProducer = lambda producer, streaming: None
         protocol.departed = lambda: transport.handle.departed
         protocol.makeConnection(transport)
