--- a/tests/test_bad_input.py
+++ b/tests/test_bad_input.py
@@ -14,6 +14,7 @@
 from thymeflow import interface as i
 from thymeflow.drill import settings_from
 from thymeflow.net.call import CallError, Reader
+from thymeflow.net.config import ConfigError, from_source
 
 GOOD = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
@@ -132,6 +133,15 @@
         settings_from({**SETTINGS, part: [lacks]})
 
 
+@pytest.mark.parametrize("part", ["rules", "caps", "family-info"])
+@pytest.mark.parametrize("value", [7, None, True])
+def test_a_part_of_the_settings_that_is_no_object_is_one_clear_fault(part: str, value: object) -> None:
+    source = {"listen": "127.0.0.1:0", "discovery": "127.0.0.1:9", "counter": "127.0.0.1:9",
+              "settings": {**SETTINGS, part: value}}
+    with pytest.raises(ConfigError):
+        from_source(source, "c.json", {})
+
+
 @pytest.mark.parametrize("text", ["", "{", "[]", "null", '{"settings": {}}', "\x00"])
 def test_a_start_under_a_bad_list_of_settings_opens_no_door(tmp_path: Path, text: str) -> None:
     with Limiter(tmp_path, told=False) as limiter:
--- a/thymeflow/drill.py
+++ b/thymeflow/drill.py
@@ -33,9 +33,9 @@
         except i.Senseless as fault:
             raise ValueError(f"settings.{where}.{names.get(fault.name, fault.name)}: {fault.value!r} "
                              "makes no sense") from None
-        except TypeError:
+        except TypeError as fault:
             lacking = [names[f.name] for f in fields(cls) if f.default is MISSING and names[f.name] not in source]
-            raise ValueError(f"settings.{where}: {lacking[0]} is missing") from None
+            raise ValueError(f"settings.{where}: {f'{lacking[0]} is missing' if lacking else fault}") from None
 
     classes = tuple(
         part(i.RequestClass, f"classes[{n}]", c,
