Review: case 2 counts only what a client had nothing of, and the entries

Cause: a value that was begun before the server's death is excused, and the case should not lean on how far that excuse reaches.

--- a/review/standins.py
+++ b/review/standins.py
@@ -71,12 +71,15 @@
     return arguments
 
 
-async def read_reply(reader: asyncio.StreamReader) -> tuple[str, bytes]:
+async def read_reply(reader: asyncio.StreamReader, on_begun: Callable[[], None] = lambda: None) -> tuple[str, bytes]:
     """Return the next answer of a limiter to a client: its kind, and the value or the line.
 
+    `on_begun` is called once its first line has come.
+
     :raises asyncio.IncompleteReadError: if the connection ended before the answer was whole.
     """
     line = (await reader.readuntil(b"\r\n"))[:-2]
+    on_begun()
     if line[:1] == b"$" and line != b"$-1":
         return "served", (await reader.readexactly(int(line[1:]) + 2))[:-2]
     return ("refused" if line.startswith(b"-BUSY") else "failed"), line
