Answer a long response whose backend was lost before its turn with an error line

Cause: a long response that waits for earlier ones pauses its backend connection, and a connection that is not read does not notice its end. ResponsePipeline._flush wrote the head first; the next read then found the reset, and the cut value could only be shown by closing the connection, which cancelled the commands behind it.

Change: before the head is written, and where the value arrives, the connection is asked whether its backend has closed it and the kernel holds less than the rest of the value. Then the attempt ends as reset, the client gets an error line, and the connection stays open. `cut short` counts the commands that a cut leaves unanswered.

test_client_connection_is_closed_when_a_long_response_breaks_off now reads the head before the backend closes: it took for granted that a response is begun whose backend is already known to be gone. It holds one byte count more strictly.

--- /dev/null
+++ b/tests/frontend/test_long_responses.py
@@ -0,0 +1,68 @@
+"""Long responses on a connection that carries more commands.
+
+The tests guard against a backend's failure in the middle of a long response that also takes the responses of other
+commands with it.
+"""
+
+from __future__ import annotations
+
+from typing import Any
+
+from tests.limiter import request
+from tests.network_support import InMemoryNetwork, make_limiter_with_client, make_served_reply, network
+from thymeflow.transport import resp
+
+__all__ = ["network"]
+
+VALUE = b"v" * (2 * resp.MAX_VALUE)
+LONG_REPLY = make_served_reply(VALUE)
+RECEIVED_BYTES = 1000  # bytes of the long reply that the limiter reads at first
+SERVED = make_served_reply(b"value")
+SERVED_RESPONSE = resp.bulk(b"value")
+FAILED_RESPONSE = b"-ERR failed\r\n"
+
+
+def forward_three_requests(network: InMemoryNetwork, client: Any) -> list[Any]:
+    """Let the client send three commands at once, and return the backend connections that they are forwarded on."""
+    client.dataReceived(request(1) + request(2) + request(3))
+    return [network.complete_dial(number) for number in range(-3, 0)]
+
+
+def test_other_commands_are_answered_when_a_backend_is_lost_before_its_long_response_is_due(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against a long response that is begun after its backend has died, and closes the connection.
+    _, client = make_limiter_with_client(network)
+    first, second, third = forward_three_requests(network, client)
+    second.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    second.transport.handle.is_peer_closed = True
+    first.dataReceived(SERVED)
+    third.dataReceived(SERVED)
+    assert client.transport.value() == SERVED_RESPONSE + FAILED_RESPONSE + SERVED_RESPONSE
+    assert not client.transport.handle.is_half_closed
+
+
+def test_long_response_is_complete_when_its_backend_closed_after_its_last_byte(network: InMemoryNetwork) -> None:
+    # Guards against failing a response of which all bytes have arrived at this machine.
+    _, client = make_limiter_with_client(network)
+    first, second, third = forward_three_requests(network, client)
+    second.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    second.transport.handle.is_peer_closed = True
+    second.transport.handle.unread = LONG_REPLY[RECEIVED_BYTES:]
+    first.dataReceived(SERVED)
+    second.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    third.dataReceived(SERVED)
+    assert client.transport.value() == SERVED_RESPONSE + resp.bulk(VALUE) + SERVED_RESPONSE
+
+
+def test_request_is_rejected_when_its_backend_was_lost_before_the_long_response_was_read(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against beginning a long response that is already known to be incomplete.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1))
+    backend = network.complete_dial(-1)
+    backend.transport.handle.is_peer_closed = True
+    backend.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    assert client.transport.value().startswith(b"-BUSY ")  # the class is idempotent, and there is no other backend
+    assert not client.transport.handle.is_half_closed
--- a/tests/network_support.py
+++ b/tests/network_support.py
@@ -80,6 +80,7 @@
         transport.setTcpNoDelay = lambda on: setattr(transport.handle, "no_delay", on)
         transport.registerProducer = lambda producer, streaming: None
         protocol.has_peer_closed = lambda: transport.handle.is_peer_closed
+        protocol.count_received_bytes = lambda: len(transport.handle.unread)
         protocol.makeConnection(transport)
         return protocol
 
--- a/tests/transport/test_long.py
+++ b/tests/transport/test_long.py
@@ -9,6 +9,7 @@
 import contextlib
 import select
 import socket
+import struct
 import time
 from collections.abc import Iterator
 from pathlib import Path
@@ -87,13 +88,37 @@
     client = limiter.connect()
     backend = forward_request(limiter, client, 1, "book")
     backend.send(HEAD + sent_bytes)
+    assert client.line() == b"$%d" % SIZE  # the response has begun, so that it cannot be replaced by an error line
     if len(sent_bytes) < SIZE:
         backend.close()
-    assert len(client.file.read()) <= SIZE + len(HEAD)  # the connection was closed without the end of the value
+    assert len(client.file.read()) <= SIZE  # the connection was closed without the end of the value
     assert limiter.backends[0].has_no_connection(0.1)  # executed perhaps, so not tried again
     limiter.serve_request(limiter.connect(), 2)
 
 
+@pytest.mark.parametrize("is_reset", [False, True])
+def test_later_responses_arrive_when_a_backend_ends_before_its_long_response_is_due(
+    limiter: Limiter, is_reset: bool
+) -> None:
+    # Guards against cutting a connection, with the responses behind, for a long response that was lost before its turn.
+    client = limiter.connect()
+    client.send(request(1) + request(2) + request(3))
+    peers = [limiter.backends[0].accept() for _ in range(3)]
+    first, second, third = sorted(peers, key=lambda peer: peer.read_command()[2])
+    second.send(HEAD + VALUE[: SIZE // 2])
+    if is_reset:
+        second.sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, struct.pack("ii", 1, 0))
+    second.close()
+    third.send(SERVED_REPLY)
+    first.send(SERVED_REPLY)
+    assert client.read_bulk() == b"value"
+    # An error line is a failure or a rejection, depending on what was read before the end of the connection.
+    assert client.line()[:4] in (b"-ERR", b"-BUS")
+    assert client.read_bulk() == b"value"
+    client.send(command(b"PING"))
+    assert client.line() == b"+PONG"
+
+
 def test_other_side_is_released_when_one_side_leaves_during_a_long_value(limiter: Limiter) -> None:
     client = limiter.connect()
     sender = limiter.connect()
--- a/thymeflow/backends/connections.py
+++ b/thymeflow/backends/connections.py
@@ -73,6 +73,11 @@
         """Return whether the last byte of the request has gone to the kernel, so that it may be executed."""
         return self.flushed and self.body_stream is None
 
+    def is_long_value_lost(self) -> bool:
+        """Return whether the backend has closed the connection, and the rest of a long value has not arrived before."""
+        missing_bytes = self._parser.missing_value_bytes()
+        return missing_bytes > 0 and self.has_peer_closed() and self.count_received_bytes() < missing_bytes
+
     def resumeProducing(self) -> None:
         """Write more of a streamed body, because the buffer has gone to the kernel."""
         super().resumeProducing()
@@ -116,6 +121,10 @@
     def _begin_long_value(self, event: resp.LongValueBegin) -> None:
         if event.leading_items or event.trailing_count != 2 or self.body_stream is not None:
             self.on_malformed("a long value is not the first of three items, or precedes the end of the request body")
+        elif self.is_long_value_lost():
+            # No byte of it has been forwarded, so that the attempt ends like any other whose connection is lost.
+            self.abort_connection()
+            self.on_lost()
         else:
             self.owner.on_long_value(self, event.length)
 
--- a/thymeflow/backends/streaming.py
+++ b/thymeflow/backends/streaming.py
@@ -94,8 +94,18 @@
                 connection.last_activity_at = clock.now()  # no byte could arrive while reading was paused
                 transport.resumeProducing()
 
+        def end_attempt_if_lost() -> None:
+            """End the attempt if the backend has ended its connection, which is not seen while reading is paused."""
+            if connection.is_long_value_lost():
+                self._owner.abandon_attempt(handle, Status.RESET)
+
         connection.shrink_buffers()
-        reply = ValueStream(length, set_paused, lambda: self._owner.abandon_attempt(handle, Status.CANCELLED))
+        reply = ValueStream(
+            length,
+            set_paused,
+            lambda: self._owner.abandon_attempt(handle, Status.CANCELLED),
+            end_attempt_if_lost,
+        )
         connection.reply_stream = reply
         if not attempt.spec.on_response_started(reply):
             self._owner.abandon_attempt(handle, Status.CANCELLED)
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -46,6 +46,10 @@
         self.response_stream: ValueStream | None = None  # a streamed response, whose head is `response`
         self.is_started = False  # the head of a streamed response has been written
 
+    def is_ready(self) -> bool:
+        """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
+        return self.response is not None and self.body is None and not self.is_started
+
 
 def encode_response(response: Response) -> bytes:
     """Return a final response encoded as RESP2; `retry_after` is rounded up to whole milliseconds."""
@@ -98,9 +102,9 @@
     def _flush(self) -> None:
         ready: list[bytes] = []
         stream: ValueStream | None = None
-        while self._slots and (slot := self._slots[0]).response is not None and slot.body is None:
-            if slot.is_started:
-                break
+        while self._slots and (slot := self._slots[0]).is_ready():
+            if slot.response_stream is not None and not slot.response_stream.can_complete():
+                self._fail_lost_response(slot, slot.response_stream)
             ready.append(slot.response or b"")
             if slot.response_stream is not None:
                 slot.is_started = True
@@ -122,6 +126,18 @@
         else:
             self._update_reading()
 
+    def _fail_lost_response(self, slot: PipelineSlot, stream: ValueStream) -> None:
+        # Replaces a long response whose backend was lost while earlier responses were awaited. The client has no byte
+        # of it, so that the connection can stay open for the responses to the commands after it.
+        log.emit_rate_limited(
+            LogKind.CUT_SHORT, "a long response failed: its backend was lost before a byte of it was written"
+        )
+        stream.abandon()
+        failure = encode_response(Response(ResponseKind.FAILED))
+        self._add_pending(len(failure) - len(slot.response or b""))
+        slot.response = failure
+        slot.response_stream = None
+
     # The methods of `value_stream.Sink`, for the streamed response that is being written.
 
     def write_chunk(self, data: bytes) -> None:
@@ -138,7 +154,13 @@
 
     def on_broken(self) -> None:
         """Close the connection, which shows the client that the value is incomplete."""
-        log.emit_rate_limited(LogKind.CUT_SHORT, "a client's connection was closed: its long response ended early")
+        unanswered_count = len(self._slots) - 1
+        log.emit_rate_limited(
+            LogKind.CUT_SHORT,
+            f"a client's connection was closed: its long response ended early, and {unanswered_count} commands after "
+            "it are not answered",
+            unanswered=unanswered_count,
+        )
         self._is_closing = True
         self._cancel_slots()
         self._close_write_side()
--- a/thymeflow/transport/connections.py
+++ b/thymeflow/transport/connections.py
@@ -9,9 +9,12 @@
 
 from __future__ import annotations
 
+import array
 import contextlib
+import fcntl
 import select
 import socket
+import termios
 from collections.abc import Callable
 from typing import Any, TypeVar
 
@@ -28,6 +31,16 @@
 from thymeflow.transport.value_stream import CHUNK_BYTES
 
 
+def _query_socket_queue(transport: Any, request: int) -> int:  # noqa: ANN401  # as for has_unread_bytes
+    """Return the number of bytes in the kernel's queue that `request` names, or 0 if the kernel does not tell."""
+    size = array.array("i", [0])
+    try:
+        fcntl.ioctl(transport.fileno(), request, size)
+    except (OSError, ValueError):  # the connection has ended, or the kernel does not know the request
+        return 0
+    return size[0]
+
+
 def has_unread_bytes(transport: Any) -> bool:  # noqa: ANN401  # Twisted's transports share no static type with getHandle()
     """Return whether bytes, an error or the end of the connection wait to be read, so that it is not idle."""
     try:
@@ -77,6 +90,10 @@
         poller.register(descriptor, _PEER_CLOSED_EVENTS)
         return bool(poller.poll(0))
 
+    def count_received_bytes(self) -> int:
+        """Return the number of bytes that have arrived at this machine and have not been read."""
+        return _query_socket_queue(self.transport, termios.FIONREAD)
+
     def shrink_buffers(self) -> None:
         """Shrink the transport's and the kernel's buffers, so that a long value is sent at the pace of its reader.
 
--- a/thymeflow/transport/resp.py
+++ b/thymeflow/transport/resp.py
@@ -20,6 +20,7 @@
 MAX_ITEMS = 32  # items of an array; the longest that a peer sends has five
 MAX_LINE = 1024  # bytes of a simple string, an error or a length
 MAX_ERROR_TEXT = 200  # characters of an error reply that the limiter sends
+LINE_END = b"\r\n"
 MAX_DIGITS = 18  # digits of a number, so that it fits into 64 bits
 
 
@@ -127,6 +128,12 @@
         """Return the number of buffered bytes of an incomplete message."""
         return len(self._buffer)
 
+    def missing_value_bytes(self) -> int:
+        """Return the number of bytes that are missing until a long value has ended, or 0 if none is being read."""
+        if self._remaining_bytes < 0:
+            return 0
+        return self._remaining_bytes + len(LINE_END) - len(self._buffer)
+
     def is_incomplete(self) -> bool:
         """Return whether a message has begun and is incomplete."""
         return bool(self._buffer) or self._remaining_bytes >= 0 or self._missing_items >= 0
--- a/thymeflow/transport/value_stream.py
+++ b/thymeflow/transport/value_stream.py
@@ -52,16 +52,24 @@
     """A value of a known length in bytes, while it is in transit.
 
     `on_pause_changed` is called at each change, with whether the source must pause. `on_abandoned` is called once if
-    the sink ends before the value is complete.
+    the sink ends before the value is complete. `check_source` is called before the first byte is written, and calls
+    `fail` if the source has ended unnoticed while it was paused.
     """
 
-    def __init__(self, length: int, on_pause_changed: Callable[[bool], None], on_abandoned: Callable[[], None]) -> None:
+    def __init__(
+        self,
+        length: int,
+        on_pause_changed: Callable[[bool], None],
+        on_abandoned: Callable[[], None],
+        check_source: Callable[[], None] = lambda: None,
+    ) -> None:
         self.length = length
         self.deadline = 0.0  # the time until which the sender of a complete body waits for the response
         self.is_done = False  # the value is complete, broken or abandoned, and the sink has been notified
         self.is_paused = False  # the source is paused
         self._on_pause_changed = on_pause_changed
         self._on_abandoned = on_abandoned
+        self._check_source = check_source
         self._buffer: deque[bytes] = deque()
         self._is_ended = False
         self._is_broken = False
@@ -96,6 +104,12 @@
         if self._is_ended and not self._is_broken:
             on_complete()
 
+    def can_complete(self) -> bool:
+        """Return whether the value is complete or its remaining bytes can still arrive; the source is checked."""
+        if not self._is_ended:
+            self._check_source()
+        return not self._is_broken
+
     def attach(self, sink: Sink) -> None:
         """Forward the value to this sink from now on."""
         self._sink = sink
