Keep a connection until its client's machine has the response, however slowly it reads

Cause: the time-out of a lingering close ran from the moment in which the kernel had accepted all bytes, and its end was an abort, which discards what the kernel still holds for a slow reader.

Change: the number of unacknowledged bytes is read from the kernel. While it changes, the connection stays; after 10 s without change it is aborted with a log line; once it is 0, the client has 1 s to close, and the close is orderly. An eviction passes over connections with undelivered bytes, and the time-out for unread responses goes by bytes taken.

test_later_requests_are_not_forwarded_when_an_idle_connection_was_half_closed asked for an abort at the end; it now asks for an orderly close and for no abort, which holds the same end more strictly.

--- a/tests/frontend/test_connections.py
+++ b/tests/frontend/test_connections.py
@@ -68,6 +68,23 @@
     assert frontend.buildProtocol(None) is None
 
 
+def test_connection_with_an_undelivered_response_is_not_evicted_when_all_are_in_use(network: InMemoryNetwork) -> None:
+    # Guards against an eviction that cuts off a response which its client still reads.
+    frontend = make_limiter(network, 64).frontend
+    clients = [network.connect_protocol(frontend.buildProtocol(None)) for _ in range(frontend._max_clients)]
+    for client in clients:
+        client.dataReceived(command(b"PING"))
+    network.reactor.advance(CROWDED_IDLE_TIMEOUT + 0.05)
+    for client in clients:
+        client.transport.handle.unacknowledged_bytes = 1000
+        client.finish()
+    assert frontend.buildProtocol(None) is None
+    clients[0].transport.handle.unacknowledged_bytes = 0
+    network.connect_protocol(frontend.buildProtocol(None))
+    assert [client.transport.disconnected for client in clients].count(True) == 1
+    assert clients[0].transport.disconnected
+
+
 @pytest.mark.parametrize("cause", ["left", "late", "past the window"])
 def test_waiting_attempt_is_written_only_when_it_is_still_valid(network: InMemoryNetwork, cause: str) -> None:
     connections, results = make_backend_connections(network)
--- a/tests/frontend/test_drains.py
+++ b/tests/frontend/test_drains.py
@@ -6,9 +6,13 @@
 from __future__ import annotations
 
 import select
+import socket
+import subprocess
 from pathlib import Path
 from typing import Any
 
+import pytest
+
 from tests.limiter import PATIENCE, Limiter, command, is_connection_refused, request
 from tests.network_support import (
     InMemoryNetwork,
@@ -17,10 +21,11 @@
     make_served_reply,
     network,
 )
-from thymeflow.frontend.timeouts import IDLE_TIMEOUT, LINGER_TIMEOUT
+from thymeflow.frontend.timeouts import IDLE_TIMEOUT, LINGER_TIMEOUT, WRITE_STALL_TIMEOUT
 from thymeflow.limiter.lifecycle import MAX_AWAITED_DEADLINE, TERMINATION_LINGER
 from thymeflow.limiter.phases import Phase
 from thymeflow.runtime import clock
+from thymeflow.transport import resp
 
 SERVED = make_served_reply(b"value")
 
@@ -81,6 +86,60 @@
     client.dataReceived(request(2))
     assert limiter.dispatcher.open_count() == 0
     network.reactor.pump([0.1] * int(LINGER_TIMEOUT / 0.1 + 2))
+    assert client.transport.disconnecting
+    assert not client.aborted
+
+
+LARGE_VALUE = b"v" * 100_000
+
+
+def test_slow_client_receives_its_complete_response_when_the_limiter_gets_sigterm(tmp_path: Path) -> None:
+    # Guards against a close that discards bytes which the kernel has accepted and the client has not read yet.
+    with Limiter(tmp_path) as limiter, socket.socket() as client:
+        client.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 16 * 1024)
+        client.settimeout(PATIENCE)
+        client.connect(("127.0.0.1", limiter.port))
+        client.sendall(request(1))
+        backend = limiter.backends[0].accept()
+        backend.read_command()
+        backend.send(make_served_reply(LARGE_VALUE))
+        limiter.terminate()
+        while not is_connection_refused(limiter):
+            pass
+        with pytest.raises(subprocess.TimeoutExpired):
+            limiter.process.wait(LINGER_TIMEOUT + 0.5)  # the client reads nothing for longer than the close may linger
+        assert client.makefile("rb").read() == resp.bulk(LARGE_VALUE)
+        client.close()
+        assert limiter.process.wait(PATIENCE) == 0
+
+
+def close_with_undelivered_response(network: InMemoryNetwork) -> Any:
+    """Return a client's connection whose write side is closed while the kernel holds bytes for the client."""
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1))
+    client.transport.handle.unacknowledged_bytes = 1000
+    network.complete_dial(-1).dataReceived(SERVED)
+    client.finish()
+    assert client.transport.handle.is_half_closed
+    return client
+
+
+def test_connection_stays_open_when_its_client_takes_its_response_slowly(network: InMemoryNetwork) -> None:
+    # Guards against a time-out that starts when the kernel, and not the client's machine, has the response.
+    client = close_with_undelivered_response(network)
+    while client.transport.handle.unacknowledged_bytes:
+        client.transport.handle.unacknowledged_bytes -= 100
+        network.reactor.pump([0.1] * int(5.0 / 0.1))
+        assert not client.aborted
+        assert client.transport.disconnecting == (not client.transport.handle.unacknowledged_bytes)
+
+
+def test_connection_is_aborted_when_its_client_takes_nothing(network: InMemoryNetwork) -> None:
+    # Guards against a client that does not read its response and keeps its connection forever.
+    client = close_with_undelivered_response(network)
+    network.reactor.pump([0.1] * int(WRITE_STALL_TIMEOUT / 0.1 - 2))
+    assert not client.aborted
+    network.reactor.pump([0.1] * 5)
     assert client.aborted
 
 
--- a/tests/network_support.py
+++ b/tests/network_support.py
@@ -33,6 +33,7 @@
         self.transport = transport
         self.max_bytes = KERNEL_BUFFER_BYTES
         self.unread = b""
+        self.unacknowledged_bytes = 0
         self.is_peer_closed = False
         self.is_half_closed = False
         self.no_delay = False
@@ -79,8 +80,10 @@
         transport.getHandle = lambda: transport.handle
         transport.setTcpNoDelay = lambda on: setattr(transport.handle, "no_delay", on)
         transport.registerProducer = lambda producer, streaming: None
+        transport.unregisterProducer = lambda: None
         protocol.has_peer_closed = lambda: transport.handle.is_peer_closed
         protocol.count_received_bytes = lambda: len(transport.handle.unread)
+        protocol.count_unacknowledged_bytes = lambda: transport.handle.unacknowledged_bytes
         protocol.makeConnection(transport)
         return protocol
 
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -192,7 +192,9 @@
     def compute_eviction_score(self, now: float) -> float:
         """Return the eviction score: the highest is evicted first, and 0 is never evicted."""
         idle = self.compute_idle_seconds(now)
-        if self._is_write_closed or (self._has_sent_command and not self._has_sent_request and not self._slots):
+        if self._is_write_closed:
+            return 0.0 if self.has_undelivered_bytes() else NO_USE_SCORE + idle
+        if self._has_sent_command and not self._has_sent_request and not self._slots:
             return NO_USE_SCORE + idle
         if not self._has_sent_request:
             return NO_REQUEST_SCORE + idle if idle > timeouts.NEW_CONNECTION_GRACE else 0.0
@@ -206,9 +208,7 @@
         if not self._is_reading and self.has_peer_closed():
             self.transport.abortConnection()
         elif self._is_write_closed or not self.flushed:
-            stalled = now - self._last_activity_at > timeouts.WRITE_STALL_TIMEOUT
-            if idle > timeouts.LINGER_TIMEOUT if self._is_write_closed else stalled:
-                self.transport.abortConnection()
+            self._close_after_delivery(now)
         elif self._body.slot is not None:
             if not self._body.is_blocked and now - self._last_activity_at > timeouts.COMMAND_TIMEOUT:
                 self._on_malformed_input("a value was begun and not ended")
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -125,7 +125,7 @@
     def _find_eviction_candidate(self, now: float) -> ClientConnection | None:
         # Finds the connection that its client uses least. Many clients send one request and stay connected, and some
         # clients send nothing. A connection with unread bytes is kept, because they may be a request that a close would
-        # lose.
+        # lose, and so is one whose client has not taken all of its responses.
         scored = nlargest(
             MAX_EVICTION_CANDIDATES, self.clients.items(), key=lambda connection: connection.compute_eviction_score(now)
         )
@@ -133,7 +133,9 @@
             (
                 connection
                 for connection in scored
-                if connection.compute_eviction_score(now) and not has_unread_bytes(connection.transport)
+                if connection.compute_eviction_score(now)
+                and not connection.has_undelivered_bytes()
+                and not has_unread_bytes(connection.transport)
             ),
             None,
         )
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -10,6 +10,7 @@
 
 from thymeflow.core.types import Response, ResponseKind
 from thymeflow.decision.events import RequestReceived
+from thymeflow.frontend import timeouts
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport import resp
@@ -69,8 +70,9 @@
     def __init__(self, memory: ResponseMemory) -> None:
         self._memory = memory
         self._slots: deque[PipelineSlot] = deque()
-        self._last_activity_at = 0.0  # time at which bytes were last received or written
+        self._last_activity_at = 0.0  # time at which bytes were last received, written or taken by the client's machine
         self._idle_since = 0.0  # time of the last command or last response
+        self._unacknowledged_bytes = 0  # as last counted by `_close_after_delivery`
         self._pending_bytes = 0  # bytes of responses that wait for earlier responses or for the client to read
         self._is_closing = False  # the connection is closed once every command is answered
         self._is_write_closed = False  # all responses are written and the write side is closed; input is discarded
@@ -176,6 +178,30 @@
                 self.transport.getHandle().shutdown(socket.SHUT_WR)
             self._update_reading()
 
+    def has_undelivered_bytes(self) -> bool:
+        """Return whether written bytes have not arrived at the client's machine, so that a close would discard them."""
+        return not self.flushed or self.count_unacknowledged_bytes() > 0
+
+    def _close_after_delivery(self, now: float) -> None:
+        # Closes a connection whose client's machine has taken all bytes and had time to close its side, or has taken
+        # none for too long. What the kernel has accepted may still have to wait for a client that reads slowly.
+        unacknowledged_bytes = self.count_unacknowledged_bytes()
+        if unacknowledged_bytes != self._unacknowledged_bytes:
+            self._unacknowledged_bytes = unacknowledged_bytes
+            self._last_activity_at = now
+        if unacknowledged_bytes or not self.flushed:
+            if now - self._last_activity_at > timeouts.WRITE_STALL_TIMEOUT:
+                log.emit_rate_limited(
+                    LogKind.CUT_SHORT,
+                    "a client's connection was closed: the client took no byte of its response for "
+                    f"{timeouts.WRITE_STALL_TIMEOUT:g} s",
+                )
+                self.transport.abortConnection()
+        elif now - max(self._last_activity_at, self._idle_since) > timeouts.LINGER_TIMEOUT:
+            # Not aborted, because a reset can discard bytes that have arrived and that the client has not read.
+            self.transport.unregisterProducer()
+            self.transport.loseConnection()
+
     def finish(self) -> None:
         """Accept no more commands, and close the connection once every accepted command is answered."""
         if not self._is_closing:
--- a/thymeflow/frontend/timeouts.py
+++ b/thymeflow/frontend/timeouts.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-# The time in which a client must read some of a pending response. It is long because some clients read slowly.
+# The time in which a client must take some bytes of a pending response. It is long because some clients read slowly.
 WRITE_STALL_TIMEOUT = 10.0
 # The time to the first complete command, the time for the head of a command, and the time between bytes of a body.
 COMMAND_TIMEOUT = 2.3
@@ -13,7 +13,7 @@
 NEW_CONNECTION_GRACE = 0.05
 # The time that a client which has just connected has for its first request while the limiter drains.
 DRAIN_GRACE = 0.25
-# The time from the close of the write side of a connection, for example after an error line, to its complete close.
+# The time in which a client that has all responses can close its side, after the write side of a connection is closed.
 LINGER_TIMEOUT = 1.0
 # The idle timeout without an open command, for a client that has sent a request and would have to connect again.
 IDLE_TIMEOUT = 4.0
--- a/thymeflow/transport/connections.py
+++ b/thymeflow/transport/connections.py
@@ -94,6 +94,10 @@
         """Return the number of bytes that have arrived at this machine and have not been read."""
         return _query_socket_queue(self.transport, termios.FIONREAD)
 
+    def count_unacknowledged_bytes(self) -> int:
+        """Return the number of bytes that the kernel holds for the peer, because the peer's machine lacks them."""
+        return _query_socket_queue(self.transport, termios.TIOCOUTQ)
+
     def shrink_buffers(self) -> None:
         """Shrink the transport's and the kernel's buffers, so that a long value is sent at the pace of its reader.
 
