Receive a long response completely before it begins if commands are behind it

Change: where a long response shares its connection with other commands, its backend is read without a pause into memory that is reserved for it (half of the bound for responses), and its first byte waits for the last one: 1 s at most, and a quarter of the time that the client still waits. If the backend dies meanwhile, the client gets an error line and all other responses. A single command's long response is streamed as before.

--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -10,6 +10,7 @@
 
 from tests.limiter import request
 from tests.network_support import InMemoryNetwork, make_limiter_with_client, make_served_reply, network
+from thymeflow.frontend.pipeline import MAX_HOLD_FRACTION, MAX_HOLD_SECONDS
 from thymeflow.transport import resp
 
 __all__ = ["network"]
@@ -66,3 +67,53 @@
     backend.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
     assert client.transport.value().startswith(b"-BUSY ")  # the class is idempotent, and there is no other backend
     assert not client.transport.handle.is_half_closed
+
+
+def test_long_response_begins_only_when_it_is_complete_and_commands_are_behind_it(network: InMemoryNetwork) -> None:
+    # Guards against a backend that dies in the middle of a long response and takes the responses behind it along.
+    limiter, client = make_limiter_with_client(network)
+    first, second, third = forward_three_requests(network, client)
+    first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    second.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    third.dataReceived(SERVED)
+    assert client.transport.value() == b""
+    first.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    assert client.transport.value() == resp.bulk(VALUE)
+    second.connectionLost()
+    assert client.transport.value() == resp.bulk(VALUE) + FAILED_RESPONSE + SERVED_RESPONSE
+    assert limiter.frontend.response_memory.used_bytes == 0
+
+
+def test_long_response_begins_incomplete_when_it_was_held_back_for_its_time(network: InMemoryNetwork) -> None:
+    # Guards against a response that is late because its backend writes it slowly.
+    limiter, client = make_limiter_with_client(network)
+    first, second, third = forward_three_requests(network, client)
+    first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    network.reactor.pump([0.1] * int(MAX_HOLD_SECONDS / 0.1 - 1))
+    assert client.transport.value() == b""
+    network.reactor.pump([0.1] * 3)
+    assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
+    first.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    second.dataReceived(SERVED)
+    third.dataReceived(SERVED)
+    assert client.transport.value() == resp.bulk(VALUE) + SERVED_RESPONSE + SERVED_RESPONSE
+    assert limiter.frontend.response_memory.used_bytes == 0
+
+
+def test_long_response_is_held_back_for_a_fraction_of_the_time_that_its_client_waits(network: InMemoryNetwork) -> None:
+    # Guards against a response that is held back until its client gives up.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1, wait=2000) + request(2))
+    network.complete_dial(-2).dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    assert client.transport.value() == b""
+    network.reactor.pump([0.1] * int(2.0 * MAX_HOLD_FRACTION / 0.1 + 2))
+    assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
+
+
+def test_long_response_is_streamed_at_once_when_no_memory_is_left_to_hold_it(network: InMemoryNetwork) -> None:
+    # Guards against a limiter that exceeds its memory by holding long responses back.
+    limiter, client = make_limiter_with_client(network)
+    limiter.frontend.response_memory.set_max_bytes(2 * len(VALUE) - 1)
+    first, _, _ = forward_three_requests(network, client)
+    first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -17,7 +17,7 @@
 from thymeflow.frontend import timeouts
 from thymeflow.frontend.body_receiver import BodyReceiver
 from thymeflow.frontend.connection_commands import QUIT, ReadinessSource, answer_connection_command
-from thymeflow.frontend.pipeline import PipelineSlot, ResponseMemory, ResponsePipeline, encode_response
+from thymeflow.frontend.pipeline import PipelineSlot, ResponseMemory, ResponsePipeline
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport import resp
@@ -152,11 +152,11 @@
         if isinstance(event, resp.LongValueChunk):
             self._body.push(event.data)
         elif isinstance(event, resp.LongValueEnd) and self._body.slot is not None:
-            request = self._body.slot.request
+            slot = self._body.slot
             body = self._body.detach()
-            if request is not None:
-                body.deadline = self._arrived_at + request.remaining
-                self._owner.dispatcher.on_body_received(request.id, body.deadline)
+            if slot.request is not None:
+                slot.deadline = body.deadline = self._arrived_at + slot.request.remaining
+                self._owner.dispatcher.on_body_received(slot.request.id, body.deadline)
             self._idle_since = self._last_activity_at
             body.finish()
 
@@ -202,6 +202,8 @@
 
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
+        if self._slots and self._slots[0].is_hold_over(now):
+            self._flush()
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
             idle_timeout = 0.0  # a client that sent nothing for the grace period is disconnected; PING keeps it
@@ -259,6 +261,7 @@
         size = REQUEST_OVERHEAD_BYTES + len(call.terms_before_wait) + len(call.terms_after_wait) + len(call.body or b"")
         exit_deadline = self._owner.exit_deadline
         deadline = min(self._arrived_at + request.remaining, exit_deadline) if body is None else inf
+        slot.deadline = deadline
         is_late = self._last_activity_at - self._arrived_at > LATE_READ_SECONDS
         if body is None and (is_late or deadline == exit_deadline):
             # The request's time began when it arrived at this machine. The gateway gets the time that remains after a
@@ -268,11 +271,9 @@
         slot.response_deferred.addCallbacks(self._on_response, lambda _: None, callbackArgs=(slot,))
 
     def _on_response(self, response: Response, slot: PipelineSlot, /) -> None:
-        slot.response = encode_response(response)
-        slot.response_stream = response.stream
+        self._store_response(slot, response)
         if slot.body is not None and response.stream is None:
             slot.body.discard()
-        self._add_pending(len(slot.response))
         if self._slots and self._slots[0] is slot:
             self._flush()
         if self._memory.used_bytes > self._memory.max_bytes:
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -5,6 +5,7 @@
 import contextlib
 import socket
 from collections import deque
+from math import inf
 
 from twisted.internet.defer import Deferred
 
@@ -17,6 +18,12 @@
 from thymeflow.transport.connections import WriteTrackingConnection
 from thymeflow.transport.value_stream import ValueStream
 
+# A long response that shares its connection with other commands is received completely before its first byte is
+# written, because one that breaks off later takes the responses behind it along. Its first byte is delayed by no more
+# than this number of seconds, and no more than this fraction of the time for which the client still waits.
+MAX_HOLD_SECONDS = 1.0
+MAX_HOLD_FRACTION = 0.25
+
 
 class ResponseMemory:
     """Counts the bytes of responses that clients have not read yet, over all connections, against a bound."""
@@ -31,11 +38,25 @@
         """Set the bound that applies to responses added from now on."""
         self.max_bytes = max_bytes
 
+    def can_reserve(self, size: int) -> bool:
+        """Return whether `size` bytes can be reserved for a long response; half of the bound is left to other ones."""
+        return self.used_bytes + size <= self.max_bytes // 2
+
 
 class PipelineSlot:
     """One command's position in the order of responses."""
 
-    __slots__ = ("body", "is_started", "request", "response", "response_deferred", "response_stream")
+    __slots__ = (
+        "body",
+        "deadline",
+        "hold_deadline",
+        "is_started",
+        "request",
+        "reserved_bytes",
+        "response",
+        "response_deferred",
+        "response_stream",
+    )
 
     def __init__(
         self, response: bytes | None = None, request: RequestReceived | None = None, body: ValueStream | None = None
@@ -46,11 +67,22 @@
         self.body = body  # an incomplete streamed request body, whose end the response waits for
         self.response_stream: ValueStream | None = None  # a streamed response, whose head is `response`
         self.is_started = False  # the head of a streamed response has been written
+        self.deadline = inf  # time until which the client waits; inf while the body of its request is incomplete
+        self.reserved_bytes = 0  # bytes of memory that are reserved for a streamed response
+        self.hold_deadline = inf  # time at which a streamed response begins though it has not arrived completely
 
     def is_ready(self) -> bool:
         """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
         return self.response is not None and self.body is None and not self.is_started
 
+    def is_hold_over(self, now: float) -> bool:
+        """Return whether a streamed response was held back and must begin now."""
+        return now >= self.hold_deadline and not self.is_started
+
+    def count_pending_bytes(self) -> int:
+        """Return the number of bytes that the response takes while it waits for its turn."""
+        return len(self.response or b"") + self.reserved_bytes
+
 
 def encode_response(response: Response) -> bytes:
     """Return a final response encoded as RESP2; `retry_after` is rounded up to whole milliseconds."""
@@ -96,17 +128,39 @@
 
     def _recount_pending(self) -> None:
         # All written bytes have gone to the kernel, so that only responses waiting for earlier responses count.
-        self._add_pending(sum(len(slot.response or b"") for slot in self._slots) - self._pending_bytes)
+        self._add_pending(sum(slot.count_pending_bytes() for slot in self._slots) - self._pending_bytes)
 
     def _reply(self, encoded: bytes) -> None:
         self._slots.append(PipelineSlot(encoded))
 
+    def _store_response(self, slot: PipelineSlot, response: Response) -> None:
+        slot.response = encode_response(response)
+        slot.response_stream = response.stream
+        self._add_pending(len(slot.response))
+        if response.stream is not None and len(self._slots) > 1 and self._memory.can_reserve(response.stream.length):
+            slot.reserved_bytes = response.stream.length
+            self._add_pending(slot.reserved_bytes)
+            response.stream.prefetch(self._flush)
+
+    def _is_held_back(self, slot: PipelineSlot) -> bool:
+        # Returns whether the streamed response, whose turn has come, waits for its last byte. It begins at once if no
+        # command is behind it, or if no memory was left to buffer it.
+        stream = slot.response_stream
+        if stream is None or not slot.reserved_bytes or len(self._slots) == 1 or stream.has_arrived():
+            return False
+        now = clock.now()
+        if slot.hold_deadline == inf:
+            slot.hold_deadline = now + min(MAX_HOLD_SECONDS, MAX_HOLD_FRACTION * (slot.deadline - now))
+        return now < slot.hold_deadline
+
     def _flush(self) -> None:
         ready: list[bytes] = []
         stream: ValueStream | None = None
         while self._slots and (slot := self._slots[0]).is_ready():
             if slot.response_stream is not None and not slot.response_stream.can_complete():
                 self._fail_lost_response(slot, slot.response_stream)
+            if self._is_held_back(slot):
+                break
             ready.append(slot.response or b"")
             if slot.response_stream is not None:
                 slot.is_started = True
@@ -136,9 +190,10 @@
         )
         stream.abandon()
         failure = encode_response(Response(ResponseKind.FAILED))
-        self._add_pending(len(failure) - len(slot.response or b""))
+        self._add_pending(len(failure) - slot.count_pending_bytes())
         slot.response = failure
         slot.response_stream = None
+        slot.reserved_bytes = 0
 
     # The methods of `value_stream.Sink`, for the streamed response that is being written.
 
@@ -150,7 +205,7 @@
     def end(self) -> None:
         """Terminate the complete value, and continue with the next response."""
         self.write(b"\r\n")
-        self._slots.popleft()
+        self._add_pending(-self._slots.popleft().reserved_bytes)
         self._idle_since = clock.now()
         self._flush()
 
--- a/thymeflow/transport/value_stream.py
+++ b/thymeflow/transport/value_stream.py
@@ -48,6 +48,10 @@
 NULL_SINK = NullSink()
 
 
+def _do_nothing() -> None:
+    """Do nothing; the default of callbacks."""
+
+
 class ValueStream:
     """A value of a known length in bytes, while it is in transit.
 
@@ -61,7 +65,7 @@
         length: int,
         on_pause_changed: Callable[[bool], None],
         on_abandoned: Callable[[], None],
-        check_source: Callable[[], None] = lambda: None,
+        check_source: Callable[[], None] = _do_nothing,
     ) -> None:
         self.length = length
         self.deadline = 0.0  # the time until which the sender of a complete body waits for the response
@@ -73,7 +77,9 @@
         self._buffer: deque[bytes] = deque()
         self._is_ended = False
         self._is_broken = False
-        self._on_complete: Callable[[], None] = lambda: None
+        self._is_prefetching = False  # the source is not paused, and the value is buffered completely if need be
+        self._on_complete: Callable[[], None] = _do_nothing
+        self._on_arrived: Callable[[], None] = _do_nothing
         self._sink: Sink | None = None
 
     # Methods for the source.
@@ -88,6 +94,7 @@
         self._is_ended = True
         self._on_complete()
         self.resume()
+        self._notify_arrived()
 
     def fail(self) -> None:
         """Mark the value as broken: no more bytes will arrive. Bytes that have arrived are still forwarded."""
@@ -95,6 +102,12 @@
             self._is_ended = True
             self._is_broken = True
             self.resume()
+            self._notify_arrived()
+
+    def _notify_arrived(self) -> None:
+        on_arrived = self._on_arrived
+        self._on_arrived = _do_nothing  # the callback may refer to the owner of this stream
+        on_arrived()
 
     # Methods for the sink.
 
@@ -104,10 +117,30 @@
         if self._is_ended and not self._is_broken:
             on_complete()
 
+    def prefetch(self, on_arrived: Callable[[], None]) -> None:
+        """Buffer the complete value, even while there is no sink or the sink has no capacity.
+
+        `on_arrived` is called once, when the value is complete or broken.
+        """
+        self._is_prefetching = True
+        self._on_arrived = on_arrived
+        self.resume()
+
+    def has_arrived(self) -> bool:
+        """Return whether no more bytes are expected, because the value is complete or broken."""
+        return self._is_ended
+
     def can_complete(self) -> bool:
-        """Return whether the value is complete or its remaining bytes can still arrive; the source is checked."""
+        """Return whether the value is complete or its remaining bytes can still arrive; the source is checked.
+
+        If the check finds the value broken, the return value alone reports that, and `on_arrived` is not called.
+        """
         if not self._is_ended:
+            on_arrived = self._on_arrived
+            self._on_arrived = _do_nothing
             self._check_source()
+            if not self._is_ended:
+                self._on_arrived = on_arrived
         return not self._is_broken
 
     def attach(self, sink: Sink) -> None:
@@ -131,7 +164,8 @@
                 sink.on_broken()
             else:
                 sink.end()
-        should_pause = not self.is_done and (sink is None or not sink.flushed or bool(self._buffer))
+        has_capacity = self._is_prefetching or (sink is not None and sink.flushed and not self._buffer)
+        should_pause = not self.is_done and not has_capacity
         if should_pause != self.is_paused:
             self.is_paused = should_pause
             self._on_pause_changed(should_pause)
@@ -141,5 +175,6 @@
         if not self.is_done:
             self.is_done = True
             self._sink = NULL_SINK
+            self._on_arrived = _do_nothing
             self._buffer.clear()
             self._on_abandoned()
