Reserve memory for held long responses apart from the bound that closes connections

Change: reserved bytes are counted beside the pending ones; both together have to fit into half of the bound when a reservation is made, and only pending bytes close a connection.

--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -82,6 +82,7 @@
     second.connectionLost()
     assert client.transport.value() == resp.bulk(VALUE) + FAILED_RESPONSE + SERVED_RESPONSE
     assert limiter.frontend.response_memory.used_bytes == 0
+    assert limiter.frontend.response_memory.reserved_bytes == 0
 
 
 def test_long_response_begins_incomplete_when_it_was_held_back_for_its_time(network: InMemoryNetwork) -> None:
@@ -98,6 +99,7 @@
     third.dataReceived(SERVED)
     assert client.transport.value() == resp.bulk(VALUE) + SERVED_RESPONSE + SERVED_RESPONSE
     assert limiter.frontend.response_memory.used_bytes == 0
+    assert limiter.frontend.response_memory.reserved_bytes == 0
 
 
 def test_long_response_is_held_back_for_a_fraction_of_the_time_that_its_client_waits(network: InMemoryNetwork) -> None:
@@ -117,3 +119,13 @@
     first, _, _ = forward_three_requests(network, client)
     first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
     assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
+
+
+def test_reserved_memory_is_released_when_the_client_leaves(network: InMemoryNetwork) -> None:
+    # Guards against reservations that add up until no long response is held back any more.
+    limiter, client = make_limiter_with_client(network)
+    first, _, _ = forward_three_requests(network, client)
+    first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    assert limiter.frontend.response_memory.reserved_bytes == len(VALUE)
+    client.connectionLost()
+    assert limiter.frontend.response_memory.reserved_bytes == 0
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -26,21 +26,32 @@
 
 
 class ResponseMemory:
-    """Counts the bytes of responses that clients have not read yet, over all connections, against a bound."""
+    """Counts the bytes of responses that clients have not read yet, over all connections, against a bound.
 
-    __slots__ = ("max_bytes", "used_bytes")
+    Memory for long responses that are received before they begin is reserved apart, and closes no connection.
+    """
+
+    __slots__ = ("max_bytes", "reserved_bytes", "used_bytes")
 
     def __init__(self, max_bytes: int) -> None:
         self.used_bytes = 0
+        self.reserved_bytes = 0
         self.max_bytes = max_bytes  # above this bound connections are closed
 
     def set_max_bytes(self, max_bytes: int) -> None:
         """Set the bound that applies to responses added from now on."""
         self.max_bytes = max_bytes
 
-    def can_reserve(self, size: int) -> bool:
-        """Return whether `size` bytes can be reserved for a long response; half of the bound is left to other ones."""
-        return self.used_bytes + size <= self.max_bytes // 2
+    def reserve(self, size: int) -> bool:
+        """Reserve `size` bytes for a long response, if it then takes half of the bound at most with all others."""
+        if self.used_bytes + self.reserved_bytes + size > self.max_bytes // 2:
+            return False
+        self.reserved_bytes += size
+        return True
+
+    def release(self, size: int) -> None:
+        """Release reserved bytes."""
+        self.reserved_bytes -= size
 
 
 class PipelineSlot:
@@ -79,10 +90,6 @@
         """Return whether a streamed response was held back and must begin now."""
         return now >= self.hold_deadline and not self.is_started
 
-    def count_pending_bytes(self) -> int:
-        """Return the number of bytes that the response takes while it waits for its turn."""
-        return len(self.response or b"") + self.reserved_bytes
-
 
 def encode_response(response: Response) -> bytes:
     """Return a final response encoded as RESP2; `retry_after` is rounded up to whole milliseconds."""
@@ -128,7 +135,7 @@
 
     def _recount_pending(self) -> None:
         # All written bytes have gone to the kernel, so that only responses waiting for earlier responses count.
-        self._add_pending(sum(slot.count_pending_bytes() for slot in self._slots) - self._pending_bytes)
+        self._add_pending(sum(len(slot.response or b"") for slot in self._slots) - self._pending_bytes)
 
     def _reply(self, encoded: bytes) -> None:
         self._slots.append(PipelineSlot(encoded))
@@ -137,11 +144,14 @@
         slot.response = encode_response(response)
         slot.response_stream = response.stream
         self._add_pending(len(slot.response))
-        if response.stream is not None and len(self._slots) > 1 and self._memory.can_reserve(response.stream.length):
+        if response.stream is not None and len(self._slots) > 1 and self._memory.reserve(response.stream.length):
             slot.reserved_bytes = response.stream.length
-            self._add_pending(slot.reserved_bytes)
             response.stream.prefetch(self._flush)
 
+    def _release_memory(self, slot: PipelineSlot) -> None:
+        self._memory.release(slot.reserved_bytes)
+        slot.reserved_bytes = 0
+
     def _is_held_back(self, slot: PipelineSlot) -> bool:
         # Returns whether the streamed response, whose turn has come, waits for its last byte. It begins at once if no
         # command is behind it, or if no memory was left to buffer it.
@@ -190,10 +200,10 @@
         )
         stream.abandon()
         failure = encode_response(Response(ResponseKind.FAILED))
-        self._add_pending(len(failure) - slot.count_pending_bytes())
+        self._add_pending(len(failure) - len(slot.response or b""))
         slot.response = failure
         slot.response_stream = None
-        slot.reserved_bytes = 0
+        self._release_memory(slot)
 
     # The methods of `value_stream.Sink`, for the streamed response that is being written.
 
@@ -205,7 +215,7 @@
     def end(self) -> None:
         """Terminate the complete value, and continue with the next response."""
         self.write(b"\r\n")
-        self._add_pending(-self._slots.popleft().reserved_bytes)
+        self._release_memory(self._slots.popleft())
         self._idle_since = clock.now()
         self._flush()
 
@@ -270,6 +280,7 @@
         self._slots = deque()
         self._add_pending(-self._pending_bytes)
         for slot in slots:
+            self._release_memory(slot)
             if slot.response_deferred is not None and slot.response is None:
                 slot.response_deferred.cancel()
             elif slot.response_stream is not None:
