Give pipeline slots, response memory and eviction scores modules of their own

Change: frontend/pipeline_slot.py has a command's slot and the encoding of its response, frontend/response_memory.py the bound on unread responses, frontend/eviction.py the order of eviction as a function of what a client has done. The testkit imports what it patches from the modules that define it. No change of behaviour.

--- a/thymeflow/frontend/body_receiver.py
+++ b/thymeflow/frontend/body_receiver.py
@@ -7,7 +7,7 @@
 
 from collections.abc import Callable
 
-from thymeflow.frontend.pipeline import PipelineSlot
+from thymeflow.frontend.pipeline_slot import PipelineSlot
 from thymeflow.transport.value_stream import ValueStream
 
 
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -17,7 +17,10 @@
 from thymeflow.frontend import timeouts
 from thymeflow.frontend.body_receiver import BodyReceiver
 from thymeflow.frontend.connection_commands import QUIT, ReadinessSource, answer_connection_command
-from thymeflow.frontend.pipeline import PipelineSlot, ResponseMemory, ResponsePipeline
+from thymeflow.frontend.eviction import NEVER_EVICTED, ConnectionUse, compute_eviction_score
+from thymeflow.frontend.pipeline import ResponsePipeline
+from thymeflow.frontend.pipeline_slot import PipelineSlot
+from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport import resp
@@ -31,10 +34,6 @@
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
 LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
 LONG_VALUE_EVENTS = (resp.LongValueChunk, resp.LongValueEnd, resp.LongValueArrayEnd)
-# Eviction scores. Connections of which the client makes no use are evicted first, then connections that sent no
-# request, and then connections by their idle time, which is far below these scores.
-NO_USE_SCORE = 2e6
-NO_REQUEST_SCORE = 1e6
 
 
 class ClientConnectionOwner(ReadinessSource, Protocol):
@@ -190,15 +189,15 @@
         return not self._slots, self._parser.buffered_bytes()
 
     def compute_eviction_score(self, now: float) -> float:
-        """Return the eviction score: the highest is evicted first, and 0 is never evicted."""
+        """Return the score by which connections are evicted; see `eviction.compute_eviction_score`."""
+        if self._is_write_closed and self.has_undelivered_bytes():
+            return NEVER_EVICTED
         idle = self.compute_idle_seconds(now)
-        if self._is_write_closed:
-            return 0.0 if self.has_undelivered_bytes() else NO_USE_SCORE + idle
-        if self._has_sent_command and not self._has_sent_request and not self._slots:
-            return NO_USE_SCORE + idle
-        if not self._has_sent_request:
-            return NO_REQUEST_SCORE + idle if idle > timeouts.NEW_CONNECTION_GRACE else 0.0
-        return idle if idle > timeouts.CROWDED_IDLE_TIMEOUT else 0.0
+        return compute_eviction_score(
+            ConnectionUse(
+                idle, self._is_write_closed, bool(self._slots), self._has_sent_command, self._has_sent_request
+            )
+        )
 
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -11,9 +11,8 @@
 
 from thymeflow.core.dispatcher import RequestDispatcher
 from thymeflow.decision.settings import GatewaySettings
-from thymeflow.frontend.client_connection import ClientConnection as ClientConnection
-from thymeflow.frontend.pipeline import PipelineSlot as PipelineSlot
-from thymeflow.frontend.pipeline import ResponseMemory
+from thymeflow.frontend.client_connection import ClientConnection
+from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.frontend.timeouts import CROWDED_IDLE_TIMEOUT, DRAIN_GRACE, IDLE_TIMEOUT
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
--- /dev/null
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -0,0 +1,58 @@
+"""One command of a client connection and its response, from the command's arrival to the response's last byte."""
+
+from __future__ import annotations
+
+from math import inf
+
+from twisted.internet.defer import Deferred
+
+from thymeflow.core.types import Response, ResponseKind
+from thymeflow.decision.events import RequestReceived
+from thymeflow.transport import resp
+from thymeflow.transport.value_stream import ValueStream
+
+
+class PipelineSlot:
+    """One command's position in the order of responses."""
+
+    __slots__ = (
+        "body",
+        "deadline",
+        "hold_deadline",
+        "is_started",
+        "request",
+        "reserved_bytes",
+        "response",
+        "response_deferred",
+        "response_stream",
+    )
+
+    def __init__(
+        self, response: bytes | None = None, request: RequestReceived | None = None, body: ValueStream | None = None
+    ) -> None:
+        self.response = response  # the encoded response, or only its head if it is streamed; None until it is known
+        self.request = request
+        self.response_deferred: Deferred[Response] | None = None
+        self.body = body  # an incomplete streamed request body, whose end the response waits for
+        self.response_stream: ValueStream | None = None  # a streamed response, whose head is `response`
+        self.is_started = False  # the head of a streamed response has been written
+        self.deadline = inf  # time until which the client waits; inf while the body of its request is incomplete
+        self.reserved_bytes = 0  # bytes of memory that are reserved for a streamed response
+        self.hold_deadline = inf  # time at which a streamed response begins though it has not arrived completely
+
+    def is_ready(self) -> bool:
+        """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
+        return self.response is not None and self.body is None and not self.is_started
+
+    def is_hold_over(self, now: float) -> bool:
+        """Return whether a streamed response was held back and must begin now."""
+        return now >= self.hold_deadline and not self.is_started
+
+
+def encode_response(response: Response) -> bytes:
+    """Return a final response encoded as RESP2; `retry_after` is rounded up to whole milliseconds."""
+    if response.kind is ResponseKind.SERVED:
+        return resp.bulk(response.value) if response.stream is None else resp.bulk_head(response.stream.length)
+    if response.kind is ResponseKind.FAILED:
+        return b"-ERR failed\r\n"
+    return b"-BUSY %d\r\n" % -int(-response.retry_after * 1000.0 // 1) if response.retry_after > 0.0 else b"-BUSY\r\n"
--- a/thymeflow/testkit/faults/fault_modes.py
+++ b/thymeflow/testkit/faults/fault_modes.py
@@ -15,7 +15,8 @@
 from thymeflow.backends import backends
 from thymeflow.core.types import AttemptResult, AttemptSpec, Response
 from thymeflow.discovery import watch
-from thymeflow.frontend import frontend
+from thymeflow.frontend.client_connection import ClientConnection
+from thymeflow.frontend.pipeline_slot import PipelineSlot
 from thymeflow.platform.endpoints import EndpointUpdate
 from thymeflow.quota.strict import StrictTokenBucket
 from thymeflow.transport.commands import SUBMIT, Call
@@ -37,16 +38,16 @@
 
 def drop_responses() -> None:
     """Close the connection in place of a response, for some requests and whenever they come."""
-    write_response = frontend.ClientConnection._on_response
+    write_response = ClientConnection._on_response
 
-    def write_nine_of_ten(self: frontend.ClientConnection, response: Response, slot: frontend.PipelineSlot) -> None:
+    def write_nine_of_ten(self: ClientConnection, response: Response, slot: PipelineSlot) -> None:
         """Write the response, or close the connection."""
         if slot.request is None or int(slot.request.id, 16) % FAULT_INTERVAL:
             write_response(self, response, slot)
         else:
             self.transport.abortConnection()
 
-    patch.object(frontend.ClientConnection, "_on_response", write_nine_of_ten).start()
+    patch.object(ClientConnection, "_on_response", write_nine_of_ten).start()
 
 
 def duplicate_attempts() -> None:
