Let four tests check what their names say: versions, senders, totals, lost grants

Cause: the test of a grant file of a newer version replaced a version that the file doesn't have, and went by another fleet's name; malformed gossip ended before the sender was checked; the counter's invalid totals came with a customer's number in place of a counter name; the wait after a lost grant file had no assert.

Change: a file with a right digest and a newer version; a valid message from senders inside and outside the fleet; totals under the name of the call in flight; leases before and after the end of all lost ones. The old checks stay.

--- a/tests/gossip/test_gossip.py
+++ b/tests/gossip/test_gossip.py
@@ -158,6 +158,17 @@
     )
 
 
+@pytest.mark.parametrize(("sender", "is_applied"), [(1, True), (3, False), (-1, False)])
+def test_valid_message_is_applied_only_when_its_sender_is_in_the_fleet(sender: int, is_applied: bool) -> None:
+    gateway = started(settings(limiter_count=3, limits=GOSSIP_LIMITS))
+    gateway.handle(10.0, request("r0"))
+    bucket = only_store(gateway)
+    message = encode_message(codec.Entry(bucket.customer_id, 0, False, 3.0, 3.0))
+    gateway.handle(10.0, GossipReceived(sender, message))
+    assert (sender in gateway.aggregator.last_message_ids) == is_applied
+    assert (bucket.remote_rate > 0.0) == is_applied
+
+
 def test_state_does_not_grow_when_each_customer_sends_one_request() -> None:
     gateway = started(settings(limits=GOSSIP_LIMITS))
     for n in range(200):
--- a/tests/leases/test_lease_issuer.py
+++ b/tests/leases/test_lease_issuer.py
@@ -26,7 +26,7 @@
 from thymeflow.leases.errors import MalformedAllocationError, OverAllocationError
 from thymeflow.leases.holder import LEASE_MARGIN_SECONDS, LeaseHolder
 from thymeflow.leases.holder_state import HOLDER_TRANSITIONS, HolderEvent, HolderState
-from thymeflow.leases.issuer import LeaseIssuer, Write
+from thymeflow.leases.issuer import COVERED_PERIOD_SECONDS, LeaseIssuer, Write
 from thymeflow.leases.ledger import Ledger
 from thymeflow.leases.resources import BASE_POINTS, LEASED_POINTS, TOTAL_POINTS, Resource, divide_by_demand
 from thymeflow.testkit.lease_model import LeaseModel
@@ -168,6 +168,11 @@
     return issuer
 
 
+def add_digest(body: bytes) -> bytes:
+    """Return the content of a grant file with this body, and the digest that belongs to it."""
+    return hashlib.blake2b(body, digest_size=grant_file.DIGEST_BYTES).hexdigest().encode() + b"\n" + body
+
+
 def test_grant_file_is_not_used_when_it_is_cut_or_changed_at_any_byte(tmp_path: Path) -> None:
     issuer = build_issuer_with_holders("ab")
     path = tmp_path / "fleet.grants"
@@ -185,9 +190,49 @@
             assert restored.epoch > 4
             assert not restored.tick(1.0)
             assert not restored.base[0].total
-    for other in (content.replace(b'"version":1', b'"version":2'), content):
-        path.write_bytes(other)
-        assert grant_file.read(path, "g", 1.0, members_running=True)[1]
+
+
+def test_grant_file_is_not_used_when_it_is_of_another_fleet(tmp_path: Path) -> None:
+    path = tmp_path / "fleet.grants"
+    grant_file.write(path, build_issuer_with_holders("ab"), "f")
+    assert "belongs to the fleet 'f'" in grant_file.read(path, "g", 1.0, members_running=True)[1]
+
+
+def test_grant_file_is_not_used_when_it_is_of_a_newer_version(tmp_path: Path) -> None:
+    path = tmp_path / "fleet.grants"
+    grant_file.write(path, build_issuer_with_holders("ab"), "f")
+    _, _, body = path.read_bytes().partition(b"\n")
+    present = b'"version":%d' % grant_file.FILE_FORMAT_VERSION
+    newer = b'"version":%d' % (grant_file.FILE_FORMAT_VERSION + 1)
+    assert body.count(present) == 1
+    path.write_bytes(add_digest(body.replace(present, newer)))
+    restored, error = grant_file.read(path, "f", 1.0, members_running=True)
+    assert "it has version 3" in error
+    assert not restored.base[0].total
+
+
+def find_granted_lease(issuer: LeaseIssuer, now: float) -> int:
+    """Let holder `a` report, and return the amount of the first resource that the next tick leases to it."""
+    issuer.on_report("a", Allocation(issuer.epoch, issuer.records["a"].number), ONES, now)
+    sends = [
+        send
+        for action in issuer.tick(now)
+        for send in (issuer.on_written(action.version) if isinstance(action, Write) else [action])
+    ]
+    assert not any(amount for send in sends for amount in send.allocation.base)
+    return max((send.allocation.lease[0] for send in sends), default=0)
+
+
+def test_leases_are_granted_only_when_all_leases_of_a_lost_grant_file_have_expired(tmp_path: Path) -> None:
+    # Guards against a unit that is granted twice, by the issuer that lost its grant file and by the one before it.
+    lost_at = 1.0
+    issuer, error = grant_file.read(tmp_path / "missing", "f", lost_at, members_running=True)
+    assert error
+    issuer.resize(1)
+    issuer.on_starting("a", lost_at)
+    assert find_granted_lease(issuer, lost_at) == 0
+    assert find_granted_lease(issuer, lost_at + COVERED_PERIOD_SECONDS - 0.1) == 0
+    assert find_granted_lease(issuer, lost_at + COVERED_PERIOD_SECONDS + 0.1) > 0
 
 
 def test_grant_file_is_not_used_when_its_amounts_exceed_the_total(tmp_path: Path) -> None:
@@ -221,7 +266,7 @@
     body = json.dumps(
         {"version": 1, "fleet": "f", "boot": grant_file.boot_id(), "era": 4, "until": 9.0, "rows": rows}
     ).encode()
-    table = grant_file.unpack(hashlib.blake2b(body, digest_size=16).hexdigest().encode() + b"\n" + body, "f")
+    table = grant_file.unpack(add_digest(body), "f")
     amounts = table.rows["n0"].noted
     assert amounts[:3] == [BASE_POINTS, 5, 0]
     assert amounts[len(Resource) :][:3] == [LEASED_POINTS, 6, 0]
--- a/tests/quota/test_counter_reports.py
+++ b/tests/quota/test_counter_reports.py
@@ -20,6 +20,7 @@
 from thymeflow.quota import counter_encoding
 from thymeflow.quota.counter_ledger import CounterLedger
 
+UNKNOWN_COUNTER_NAME = 5  # that no call has used
 COUNTER_INFORMATION = Information(max_units=4.0, counter=True, max_gossip_per_second=0.0)
 
 
@@ -204,10 +205,14 @@
 def test_reply_changes_nothing_when_it_is_invalid_or_unexpected() -> None:
     gateway = started(settings(information=COUNTER_INFORMATION))
     gateway.handle(10.0, request("r0", 4.0))
-    for total in (float("nan"), float("inf")):
-        assert gateway.handle(10.1, CounterReplied(next(iter(gateway.buckets)), Status.OK, total)) == []
-    assert gateway.handle(10.1, CounterReplied(5, Status.OK, 3.0)) == []
+    assert gateway.handle(10.1, CounterReplied(UNKNOWN_COUNTER_NAME, Status.OK, 3.0)) == []
     assert only_store(gateway).remote_rate == 0.0
+    for n, total in enumerate((float("nan"), float("inf"), float("-inf"))):
+        now = 11.0 + n
+        gateway.handle(now, request(f"s{n}", 4.0))
+        counter_call = find_counter_call(gateway, now)
+        assert gateway.handle(now + 0.5, CounterReplied(counter_call.name, Status.OK, total)) == []
+        assert only_store(gateway).remote_rate == 0.0
 
 
 def test_metered_usage_is_used_when_nothing_else_is_reported() -> None:
