--- a/tests/frontend/test_connections.py
+++ b/tests/frontend/test_connections.py
@@ -30,6 +30,7 @@
     parse_command,
 )
 from thymeflow.decision.types import Status
+from thymeflow.frontend.frontend import Frontend
 from thymeflow.frontend.timeouts import CROWDED_IDLE_TIMEOUT
 from thymeflow.limiter.management import ManagementServer
 from thymeflow.runtime import clock
@@ -54,12 +55,18 @@
     assert all(connection.transport.handle.no_delay for connection in connections)
 
 
-def test_connection_with_unread_bytes_is_not_evicted_when_all_are_in_use(network: InMemoryNetwork) -> None:
+def make_frontend_with_idle_clients(network: InMemoryNetwork) -> tuple[Frontend, list[Any]]:
+    """Return a frontend of which all connections are in use by clients that have sent PING and are idle."""
     frontend = make_limiter(network, 64).frontend
     clients = [network.connect_protocol(frontend.buildProtocol(None)) for _ in range(frontend._max_clients)]
     for client in clients:
         client.dataReceived(command(b"PING"))
     network.reactor.advance(CROWDED_IDLE_TIMEOUT + 0.05)
+    return frontend, clients
+
+
+def test_connection_with_unread_bytes_is_not_evicted_when_all_are_in_use(network: InMemoryNetwork) -> None:
+    frontend, clients = make_frontend_with_idle_clients(network)
     for client in clients[1:]:
         client.transport.handle.unread = b"*"
     network.connect_protocol(frontend.buildProtocol(None))
@@ -70,11 +77,7 @@
 
 def test_connection_with_an_undelivered_response_is_not_evicted_when_all_are_in_use(network: InMemoryNetwork) -> None:
     # Guards against an eviction that cuts off a response which its client still reads.
-    frontend = make_limiter(network, 64).frontend
-    clients = [network.connect_protocol(frontend.buildProtocol(None)) for _ in range(frontend._max_clients)]
-    for client in clients:
-        client.dataReceived(command(b"PING"))
-    network.reactor.advance(CROWDED_IDLE_TIMEOUT + 0.05)
+    frontend, clients = make_frontend_with_idle_clients(network)
     for client in clients:
         client.transport.handle.unacknowledged_bytes = 1000
         client.finish()
--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -10,7 +10,7 @@
 
 from tests.limiter import request
 from tests.network_support import InMemoryNetwork, make_limiter_with_client, make_served_reply, network
-from thymeflow.frontend.pipeline import MAX_HOLD_FRACTION, MAX_HOLD_SECONDS
+from thymeflow.frontend.pipeline import MAX_BUFFERING_FRACTION, MAX_BUFFERING_SECONDS
 from thymeflow.transport import resp
 
 __all__ = ["network"]
@@ -29,7 +29,7 @@
     return [network.complete_dial(number) for number in range(-3, 0)]
 
 
-def test_other_commands_are_answered_when_a_backend_is_lost_before_its_long_response_is_due(
+def test_other_commands_are_answered_when_a_backend_is_lost_before_the_turn_of_its_long_response(
     network: InMemoryNetwork,
 ) -> None:
     # Guards against a long response that is begun after its backend has died, and closes the connection.
@@ -85,12 +85,12 @@
     assert limiter.frontend.response_memory.reserved_bytes == 0
 
 
-def test_long_response_begins_incomplete_when_it_was_held_back_for_its_time(network: InMemoryNetwork) -> None:
+def test_long_response_begins_incomplete_when_the_time_for_buffering_it_is_over(network: InMemoryNetwork) -> None:
     # Guards against a response that is late because its backend writes it slowly.
     limiter, client = make_limiter_with_client(network)
     first, second, third = forward_three_requests(network, client)
     first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
-    network.reactor.pump([0.1] * int(MAX_HOLD_SECONDS / 0.1 - 1))
+    network.reactor.pump([0.1] * int(MAX_BUFFERING_SECONDS / 0.1 - 1))
     assert client.transport.value() == b""
     network.reactor.pump([0.1] * 3)
     assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
@@ -102,18 +102,18 @@
     assert limiter.frontend.response_memory.reserved_bytes == 0
 
 
-def test_long_response_is_held_back_for_a_fraction_of_the_time_that_its_client_waits(network: InMemoryNetwork) -> None:
-    # Guards against a response that is held back until its client gives up.
+def test_long_response_is_buffering_for_a_fraction_of_the_time_that_its_client_waits(network: InMemoryNetwork) -> None:
+    # Guards against a response that is buffered for longer than its client waits.
     _, client = make_limiter_with_client(network)
     client.dataReceived(request(1, wait=2000) + request(2))
     network.complete_dial(-2).dataReceived(LONG_REPLY[:RECEIVED_BYTES])
     assert client.transport.value() == b""
-    network.reactor.pump([0.1] * int(2.0 * MAX_HOLD_FRACTION / 0.1 + 2))
+    network.reactor.pump([0.1] * int(2.0 * MAX_BUFFERING_FRACTION / 0.1 + 2))
     assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
 
 
-def test_long_response_is_streamed_at_once_when_no_memory_is_left_to_hold_it(network: InMemoryNetwork) -> None:
-    # Guards against a limiter that exceeds its memory by holding long responses back.
+def test_long_response_is_streamed_at_once_when_no_memory_is_left_to_buffer_it(network: InMemoryNetwork) -> None:
+    # Guards against a limiter that exceeds its memory by buffering long responses.
     limiter, client = make_limiter_with_client(network)
     limiter.frontend.response_memory.set_max_bytes(2 * len(VALUE) - 1)
     first, _, _ = forward_three_requests(network, client)
@@ -122,7 +122,7 @@
 
 
 def test_reserved_memory_is_released_when_the_client_leaves(network: InMemoryNetwork) -> None:
-    # Guards against reservations that add up until no long response is held back any more.
+    # Guards against reservations that add up until no long response is buffered any more.
     limiter, client = make_limiter_with_client(network)
     first, _, _ = forward_three_requests(network, client)
     first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
--- a/tests/transport/test_long.py
+++ b/tests/transport/test_long.py
@@ -97,7 +97,7 @@
 
 
 @pytest.mark.parametrize("is_reset", [False, True])
-def test_later_responses_arrive_when_a_backend_ends_before_its_long_response_is_due(
+def test_other_responses_arrive_when_a_backend_ends_before_the_turn_of_its_long_response(
     limiter: Limiter, is_reset: bool
 ) -> None:
     # Guards against cutting a connection, with the responses behind, for a long response that was lost before its turn.
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -201,7 +201,7 @@
 
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
-        if self._slots and self._slots[0].is_hold_over(now):
+        if self._slots and self._slots[0].is_buffering_over(now):
             self._flush()
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -19,8 +19,8 @@
 # A long response that shares its connection with other commands is received completely before its first byte is
 # written, because one that breaks off later takes the responses behind it along. Its first byte is delayed by no more
 # than this number of seconds, and no more than this fraction of the time for which the client still waits.
-MAX_HOLD_SECONDS = 1.0
-MAX_HOLD_FRACTION = 0.25
+MAX_BUFFERING_SECONDS = 1.0
+MAX_BUFFERING_FRACTION = 0.25
 
 
 class ResponsePipeline(WriteTrackingConnection):
@@ -75,16 +75,16 @@
         self._memory.release(slot.reserved_bytes)
         slot.reserved_bytes = 0
 
-    def _is_held_back(self, slot: PipelineSlot) -> bool:
+    def _is_buffering(self, slot: PipelineSlot) -> bool:
         # Returns whether the streamed response, whose turn has come, waits for its last byte. It begins at once if no
         # command is behind it, or if no memory was left to buffer it.
         stream = slot.response_stream
         if stream is None or not slot.reserved_bytes or len(self._slots) == 1 or stream.has_arrived():
             return False
         now = clock.now()
-        if slot.hold_deadline == inf:
-            slot.hold_deadline = now + min(MAX_HOLD_SECONDS, MAX_HOLD_FRACTION * (slot.deadline - now))
-        return now < slot.hold_deadline
+        if slot.buffering_deadline == inf:
+            slot.buffering_deadline = now + min(MAX_BUFFERING_SECONDS, MAX_BUFFERING_FRACTION * (slot.deadline - now))
+        return now < slot.buffering_deadline
 
     def _flush(self) -> None:
         ready: list[bytes] = []
@@ -92,7 +92,7 @@
         while self._slots and (slot := self._slots[0]).is_ready():
             if slot.response_stream is not None and not slot.response_stream.can_complete():
                 self._fail_lost_response(slot, slot.response_stream)
-            if self._is_held_back(slot):
+            if self._is_buffering(slot):
                 break
             ready.append(slot.response or b"")
             if slot.response_stream is not None:
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -17,8 +17,8 @@
 
     __slots__ = (
         "body",
+        "buffering_deadline",
         "deadline",
-        "hold_deadline",
         "is_started",
         "request",
         "reserved_bytes",
@@ -38,15 +38,15 @@
         self.is_started = False  # the head of a streamed response has been written
         self.deadline = inf  # time until which the client waits; inf while the body of its request is incomplete
         self.reserved_bytes = 0  # bytes of memory that are reserved for a streamed response
-        self.hold_deadline = inf  # time at which a streamed response begins though it has not arrived completely
+        self.buffering_deadline = inf  # time at which a streamed response begins though it has not arrived completely
 
     def is_ready(self) -> bool:
         """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
         return self.response is not None and self.body is None and not self.is_started
 
-    def is_hold_over(self, now: float) -> bool:
-        """Return whether a streamed response was held back and must begin now."""
-        return now >= self.hold_deadline and not self.is_started
+    def is_buffering_over(self, now: float) -> bool:
+        """Return whether a streamed response was buffered, and has to begin now though it is incomplete."""
+        return now >= self.buffering_deadline and not self.is_started
 
 
 def encode_response(response: Response) -> bytes:
--- a/thymeflow/transport/connections.py
+++ b/thymeflow/transport/connections.py
@@ -31,12 +31,15 @@
 from thymeflow.transport.value_stream import CHUNK_BYTES
 
 
-def _query_socket_queue(transport: Any, request: int) -> int:  # noqa: ANN401  # as for has_unread_bytes
-    """Return the number of bytes in the kernel's queue that `request` names, or 0 if the kernel does not tell."""
+def _query_socket_queue(descriptor: int, request: int) -> int:
+    """Return the number of bytes in the queue of a socket that the ioctl `request` names.
+
+    It is 0 for a connection that has ended, and if the kernel does not support the request.
+    """
     size = array.array("i", [0])
     try:
-        fcntl.ioctl(transport.fileno(), request, size)
-    except (OSError, ValueError):  # the connection has ended, or the kernel does not know the request
+        fcntl.ioctl(descriptor, request, size)
+    except (OSError, ValueError):
         return 0
     return size[0]
 
@@ -92,11 +95,11 @@
 
     def count_received_bytes(self) -> int:
         """Return the number of bytes that have arrived at this machine and have not been read."""
-        return _query_socket_queue(self.transport, termios.FIONREAD)
+        return _query_socket_queue(self.transport.fileno(), termios.FIONREAD)
 
     def count_unacknowledged_bytes(self) -> int:
-        """Return the number of bytes that the kernel holds for the peer, because the peer's machine lacks them."""
-        return _query_socket_queue(self.transport, termios.TIOCOUTQ)
+        """Return the number of bytes that the kernel has accepted and the peer's machine has not acknowledged."""
+        return _query_socket_queue(self.transport.fileno(), termios.TIOCOUTQ)
 
     def shrink_buffers(self) -> None:
         """Shrink the transport's and the kernel's buffers, so that a long value is sent at the pace of its reader.
