Queue up to 128 operators' connections, so that none waits for a second SYN

Cause: the management socket listened with a queue of 16. test_caller_is_answered_when_idle_callers_occupy_all_slots (21 connects at once) failed once beside the suite, with 1.016 s for a bound of 1 s: a connect to a full queue is repeated by the kernel after 1 s. An operator's caller waits 1 s, so that readyz would have counted as a no. Change: a queue of 128. Measured: the new test, 64 connects to a stopped process, timed out with 16 and passes with 128.

--- a/tests/run_line/test_management.py
+++ b/tests/run_line/test_management.py
@@ -5,6 +5,8 @@
 import itertools
 import json
 import os
+import signal
+import socket
 import subprocess
 import sys
 import time
@@ -77,6 +79,18 @@
     assert idle_callers[-1].line().startswith(b"200 ")  # A caller is answered even if it sends its line late.
 
 
+def test_callers_connect_at_once_when_the_limiter_is_stopped_and_many_connect(limiter: Limiter) -> None:
+    # Guards against a queue of the listening socket that drops connections, which then take a second longer.
+    limiter.process.send_signal(signal.SIGSTOP)
+    address = ("127.0.0.1", limiter.listen_for_operators)
+    try:
+        callers = [socket.create_connection(address, 0.9) for _ in range(4 * MAX_CALLERS)]
+    finally:
+        limiter.process.send_signal(signal.SIGCONT)
+    for caller in callers:
+        caller.close()
+
+
 def test_clients_are_closed_when_evacuated_and_accepted_when_activated(limiter: Limiter) -> None:
     busy = limiter.connect()
     idle = limiter.connect()
--- a/thymeflow/limiter/assembly.py
+++ b/thymeflow/limiter/assembly.py
@@ -16,7 +16,7 @@
 from thymeflow.frontend.frontend import Frontend
 from thymeflow.frontend.listener import bind_listener, start_listening
 from thymeflow.limiter.lifecycle import TERMINATION_LINGER, Lifecycle
-from thymeflow.limiter.management import MAX_CALLERS, ManagementServer
+from thymeflow.limiter.management import BACKLOG, ManagementServer
 from thymeflow.limiter.phases import Phase
 from thymeflow.limiter.reload import ConfigurationReloader
 from thymeflow.platform import configuration, endpoints
@@ -208,7 +208,7 @@
             port = self.reactor.listenTCP(
                 address.port,
                 ManagementServer(self.deadlines, self.lifecycle.on_command),
-                backlog=MAX_CALLERS,
+                backlog=BACKLOG,
                 interface=address.host,
             )
             log.emit(LogKind.CALLS, f"listening for operators' commands at {address.host}:{port.getHost().port}")
--- a/thymeflow/limiter/management.py
+++ b/thymeflow/limiter/management.py
@@ -19,6 +19,8 @@
 from thymeflow.runtime.slot_table import SlotTable
 
 MAX_LINE = 256  # bytes of a command line; the longest command has eight
+# Connections that wait to be accepted. A connection beyond them is delayed by 1 s, after which its client tries again.
+BACKLOG = 128
 MAX_CALLERS = 16  # simultaneous callers; their descriptors are part of the reserved ones
 # Seconds from the connect to the end of the line, and again from the answer until the caller closes the connection.
 CALLER_TIMEOUT = 10.0
