--- a/thymeflow/backends/backends.py
+++ b/thymeflow/backends/backends.py
@@ -238,12 +238,16 @@
     def on_connection_lost(self, connection: Connection) -> None:
         """End the attempt on a connection that the backend closed or reset."""
         status = Status.RESET if connection.is_request_sent() else Status.CONNECT_FAILED
-        handle = self._detach_closed(connection)
-        if handle >= 0:
+        if attempt := self._attempts.get(connection.attempt_handle):
             address = connection.pool.address
             log.emit_rate_limited(
-                LogKind.RESET, f"backend {address} closed a connection with an attempt in flight", address=address
+                LogKind.RESET,
+                f"backend {address} closed a connection with an attempt in flight: {attempt.describe_progress()}",
+                address=address,
+                request=attempt.get_request_id(),
             )
+        handle = self._detach_closed(connection)
+        if handle >= 0:
             self._end_attempt(handle, AttemptResult(status))
 
     def _detach_closed(self, connection: Connection) -> int:
--- a/thymeflow/backends/streaming.py
+++ b/thymeflow/backends/streaming.py
@@ -61,7 +61,7 @@
         # nor the connection waits for ever.
         attempt = self._attempts.get(handle)
         connection = None if attempt is None else attempt.connection
-        if connection is None or connection.body_stream is None:
+        if attempt is None or connection is None or connection.body_stream is None:
             return
         now = clock.now()
         waiting_since = now if connection.flushed else connection.last_activity_at
@@ -73,8 +73,9 @@
             log.emit_rate_limited(
                 LogKind.BODY_STUCK,
                 f"backend {address} read no byte of the request body for {LONG_VALUE_TIMEOUT:g} s; "
-                "the attempt was abandoned",
+                f"the attempt was abandoned: {attempt.describe_progress()}",
                 address=address,
+                request=attempt.get_request_id(),
             )
             self._owner.abandon_attempt(handle, Status.CONNECT_FAILED)
 
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -33,6 +33,7 @@
 REQUEST_OVERHEAD_BYTES = 2048  # bytes of memory that a request takes in addition to its text
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
 LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
+LATE_RESPONSE_SECONDS = 0.05  # a response that comes so long after the deadline of its request is logged
 LONG_VALUE_EVENTS = (resp.LongValueChunk, resp.LongValueEnd, resp.LongValueArrayEnd)
 
 
@@ -271,6 +272,15 @@
         slot.response_deferred.addCallbacks(self._on_response, lambda _: None, callbackArgs=(slot,))
 
     def _on_response(self, response: Response, slot: PipelineSlot, /) -> None:
+        seconds_late = clock.now() - slot.deadline
+        if seconds_late > LATE_RESPONSE_SECONDS:
+            log.emit_rate_limited(
+                LogKind.LATE,
+                f"request {slot.get_request_id()} was answered ({response.kind.value}) {seconds_late:.3f} s after its "
+                "deadline",
+                request=slot.get_request_id(),
+                seconds=round(seconds_late, 3),
+            )
         self._store_response(slot, response)
         if slot.body is not None and response.stream is None:
             slot.body.discard()
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -145,11 +145,15 @@
     def on_broken(self) -> None:
         """Close the connection, which shows the client that the value is incomplete."""
         unanswered_count = len(self._slots) - 1
+        request_id = self._slots[0].get_request_id()
+        stream = self._slots[0].response_stream
+        written = "" if stream is None else f" after {stream.count_forwarded_bytes()} of {stream.length} bytes"
         log.emit_rate_limited(
             LogKind.CUT_SHORT,
-            f"a client's connection was closed: its long response ended early, and {unanswered_count} commands after "
-            "it are not answered",
+            f"a client's connection was closed: its long response ended early{written} (request {request_id}), "
+            f"and {unanswered_count} commands after it are not answered",
             unanswered=unanswered_count,
+            request=request_id,
         )
         self._is_closing = True
         self._cancel_slots()
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -44,6 +44,10 @@
         """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
         return self.response is not None and self.body is None and not self.is_started
 
+    def get_request_id(self) -> str:
+        """Return the id of the request, for log lines; empty for a command without a request."""
+        return "" if self.request is None else self.request.id
+
     def is_buffering_over(self, now: float) -> bool:
         """Return whether a streamed response was buffered, and has to begin now though it is incomplete."""
         return now >= self.buffering_deadline and not self.is_started
--- a/thymeflow/runtime/log_kinds.py
+++ b/thymeflow/runtime/log_kinds.py
@@ -34,6 +34,7 @@
     CUT_SHORT = "cut short"
     REJECTIONS = "rejections"
     OVERDUE = "overdue"
+    LATE = "late"
 
     # Backends
     CONNECT_FAILED = "connect failed"
--- a/thymeflow/transport/value_stream.py
+++ b/thymeflow/transport/value_stream.py
@@ -74,6 +74,8 @@
         self._on_pause_changed = on_pause_changed
         self._on_abandoned = on_abandoned
         self._check_source = check_source
+        self.arrived_bytes = 0
+        self.buffered_bytes = 0  # bytes that have arrived and are not written to the sink
         self._buffer: deque[bytes] = deque()
         self._is_ended = False
         self._is_broken = False
@@ -86,6 +88,8 @@
 
     def push(self, data: bytes) -> None:
         """Accept the next bytes from the source."""
+        self.arrived_bytes += len(data)
+        self.buffered_bytes += len(data)
         self._buffer.append(data)
         self.resume()
 
@@ -126,6 +130,10 @@
         self._on_arrived = on_arrived
         self.resume()
 
+    def count_forwarded_bytes(self) -> int:
+        """Return the number of bytes that were written to the sink."""
+        return self.arrived_bytes - self.buffered_bytes
+
     def has_arrived(self) -> bool:
         """Return whether no more bytes are expected, because the value is complete or broken."""
         return self._is_ended
@@ -157,7 +165,9 @@
         """Write buffered chunks while the sink has capacity, and let the source continue once none is buffered."""
         sink = self._sink
         while self._buffer and sink is not None and sink.flushed:
-            sink.write_chunk(self._buffer.popleft())
+            chunk = self._buffer.popleft()
+            self.buffered_bytes -= len(chunk)
+            sink.write_chunk(chunk)
         if sink is not None and not self._buffer and self._is_ended and not self.is_done:
             self.is_done = True
             if self._is_broken:
@@ -177,4 +187,5 @@
             self._sink = NULL_SINK
             self._on_arrived = _do_nothing
             self._buffer.clear()
+            self.buffered_bytes = 0
             self._on_abandoned()
