Answer long requests in time, however slowly a backend reads their bodies

Cause: the limiter read a body at the pace of the backend, and let the request's time begin when it read the last byte. That byte had long been written: it waited in socket buffers. A backend that stopped reading was given up after 5 s, whatever the client's time. Evidence: in all six cases that a slow server ended with an error (end - wait - first byte) x rate is 104 to 127 KB short of the body, which is what the socket buffers hold; the cases with a stuck server have no end before 5 s. Change: a body is read as fast as its client writes it; what the backend has not taken is buffered in a memory that all bodies share (15% of the limit; requests in flight 25% -> 15%). The time begins when the last byte is at this machine, or may be: the receive queue is asked, and while the shared memory is used up the time counts from the pause. When it is over the attempt, which never had its last byte, ends, and the rest is discarded. Related paths: the time told to a backend is what is left if the body was complete before the connection was up; a body that ends after SIGTERM is bound by the earliest SIGKILL; a buffered body ends when its client leaves. Why it works: no response waits for a backend's reading any more, and no buffer grows with the number of clients.

--- a/tests/backends/test_attempts.py
+++ b/tests/backends/test_attempts.py
@@ -26,8 +26,9 @@
 from thymeflow.core.types import AttemptSpec
 from thymeflow.decision.settings import Limits
 from thymeflow.decision.types import Status
+from thymeflow.runtime import clock
 from thymeflow.transport.commands import Call
-from thymeflow.transport.value_stream import ValueStream
+from thymeflow.transport.value_stream import BufferMemory, ValueStream
 
 __all__ = ["network"]
 
@@ -168,3 +169,19 @@
         assert results[0].status is Status.CONNECT_FAILED
         assert backend.closed
         assert not body.is_paused
+
+
+def test_backend_is_told_the_time_that_is_left_when_a_long_body_had_to_wait_for_a_connection(
+    network: InMemoryNetwork,
+) -> None:
+    connections, _ = make_backend_connections(network)
+    body = ValueStream(100_000, lambda is_paused: None, lambda: None, memory=BufferMemory(1_000_000))
+    call = make_attempt_spec().payload
+    assert isinstance(call, Call)
+    connections.start_attempt(AttemptSpec(1, call._replace(body_stream=body, wait_ms=3000), inf))
+    body.push(b"x" * 100_000)
+    body.deadline = clock.now() + 3.0
+    body.finish()
+    network.reactor.advance(1.0)
+    backend = network.complete_dial(0)
+    assert b",d=2000," in backend.transport.value()
--- a/tests/frontend/test_limits.py
+++ b/tests/frontend/test_limits.py
@@ -42,6 +42,7 @@
             limiter.backends._max_connections,
             frontend.response_memory.max_bytes,
             frontend._max_unfinished_input_bytes,
+            frontend.body_memory.max_bytes,
             dispatcher._requests._memory_limit,
         )
 
--- a/thymeflow/backends/backends.py
+++ b/thymeflow/backends/backends.py
@@ -190,9 +190,10 @@
             self._end_attempt(handle, AttemptResult(Status.CONNECT_FAILED))
         return False
 
-    def on_body_failed(self, connection: Connection) -> None:
-        """Cancel the attempt; the backend learns that the body is incomplete when its connection closes."""
-        self.abandon_attempt(connection.attempt_handle, Status.CANCELLED)
+    def on_body_failed(self, connection: Connection, is_expired: bool) -> None:
+        """End the attempt; the backend learns that the body is incomplete when its connection closes."""
+        status = Status.CONNECT_FAILED if is_expired else Status.CANCELLED
+        self.abandon_attempt(connection.attempt_handle, status)
 
     def on_long_value(self, connection: Connection, length: int) -> None:
         """Stream a long reply to the client; the deadline no longer applies after its first bytes."""
--- a/thymeflow/backends/connections.py
+++ b/thymeflow/backends/connections.py
@@ -31,8 +31,8 @@
     def on_long_value(self, connection: Connection, length: int) -> None:
         """Handle the start of a reply with a streamed value of `length` bytes."""
 
-    def on_body_failed(self, connection: Connection) -> None:
-        """Cancel the attempt in flight, whose request body will not be completed."""
+    def on_body_failed(self, connection: Connection, is_expired: bool) -> None:
+        """End the attempt in flight, whose body will not be completed; `is_expired`: the backend was too slow."""
 
     def on_malformed(self, connection: Connection) -> None:
         """Handle a connection that was closed because malformed bytes arrived on it."""
@@ -159,8 +159,9 @@
         self.body_stream = None
 
     def on_broken(self) -> None:
-        """Cancel the attempt, whose body stays incomplete so that the request is never executed."""
-        self.owner.on_body_failed(self)
+        """End the attempt, whose body stays incomplete so that the request is never executed."""
+        is_expired = self.body_stream is not None and self.body_stream.is_expired
+        self.owner.on_body_failed(self, is_expired)
 
     def on_malformed(self, fault: str) -> None:
         """Close the connection; the request in flight may have been executed, and its reply is unknown."""
--- a/thymeflow/backends/streaming.py
+++ b/thymeflow/backends/streaming.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from math import inf
 from typing import Protocol
 
 from thymeflow.backends.attempts import Attempt
@@ -47,7 +48,9 @@
         self._deadlines.schedule(connection.last_activity_at + LONG_VALUE_TIMEOUT, self._check_body, handle)
         body.set_on_complete(lambda: self._on_body_received(handle, body.deadline))
         attempt.spec.on_response_started(None)
-        connection.write(call.encode(call.wait_ms))
+        is_time_running = body.deadline < inf
+        wait_ms = int((body.deadline - clock.now()) * 1000.0) if is_time_running else call.wait_ms
+        connection.write(call.encode(max(1, wait_ms)))
         body.attach(connection)
 
     def _on_body_received(self, handle: int, deadline: float) -> None:
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -25,14 +25,15 @@
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport import resp
 from thymeflow.transport.commands import QUERY, SUBMIT, CallError, CallReader
-from thymeflow.transport.connections import has_unread_bytes
-from thymeflow.transport.value_stream import ValueStream
+from thymeflow.transport.connections import DEFAULT_READ_BYTES, has_unread_bytes
+from thymeflow.transport.value_stream import BufferMemory, ValueStream
 
 BODY_INDEX = 4  # the index of a command's body, which may arrive slowly; the items before it are the command's head
 MAX_PIPELINED_COMMANDS = 64  # a client with this many unanswered commands is not read from
 REQUEST_OVERHEAD_BYTES = 2048  # bytes of memory that a request takes in addition to its text
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
 LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
+BODY_READ_BYTES = 256 * 1024  # bytes of a long body that are read at a time
 LATE_RESPONSE_SECONDS = 0.05  # a response that comes so long after the deadline of its request is logged
 LONG_VALUE_EVENTS = (resp.LongValueChunk, resp.LongValueEnd, resp.LongValueArrayEnd)
 
@@ -40,6 +41,7 @@
 class ClientConnectionOwner(ReadinessSource, Protocol):
     """The interface of the frontend that accepted a client connection."""
 
+    body_memory: BufferMemory
     deadlines: clock.Deadlines
     dispatcher: RequestDispatcher
     reader: CallReader
@@ -129,6 +131,8 @@
             else:
                 fault = "a command is an array of bulk strings"
                 break
+        if self._body.slot is not None:
+            self._note_unread_body(now, is_all_read=len(data) < self.max_read_bytes)
         owner.on_input_buffered(self._parser.buffered_bytes() - buffered_before)
         if fault and (not self._is_closing or self._body.slot is not None):
             self._on_malformed_input(fault)
@@ -139,9 +143,9 @@
     def _on_long_command(self, begin: resp.LongValueBegin) -> None:
         # Submits a command with a long body once its head is complete. It is answered once the body is complete.
         self._has_sent_command = True
-        self.shrink_buffers()
         arguments = begin.leading_items
-        body = self._body.build_body_stream(begin.length, self._on_body_pause_changed)
+        self.set_max_read_bytes(BODY_READ_BYTES)
+        body = self._body.build_body_stream(begin.length, self._on_body_pause_changed, self._owner.body_memory)
         if all(type(item) is bytes for item in arguments) and len(arguments) == BODY_INDEX and not begin.trailing_count:
             self._submit_request([*arguments, b""], body)  # type: ignore[list-item]  # checked above
         else:
@@ -154,12 +158,24 @@
         elif isinstance(event, resp.LongValueEnd) and self._body.slot is not None:
             slot = self._body.slot
             body = self._body.detach()
-            if slot.request is not None:
-                slot.deadline = body.deadline = self._arrived_at + slot.request.remaining
+            self.set_max_read_bytes(DEFAULT_READ_BYTES)
+            if slot.request is not None and slot.response is None:
+                last_byte_at = self._body.find_earliest_end(self._arrived_at)
+                slot.deadline = min(last_byte_at + slot.request.remaining, self._owner.exit_deadline)
+                body.deadline = slot.deadline
                 self._owner.dispatcher.on_body_received(slot.request.id, body.deadline)
             self._idle_since = self._last_activity_at
             body.finish()
 
+    def _note_unread_body(self, now: float, *, is_all_read: bool) -> None:
+        # Finds out whether the last byte of the incomplete body has arrived, though it is not read yet.
+        if is_all_read:
+            self._body.note_all_read(now)
+        elif not self._body.is_last_byte_known():
+            missing_bytes = self._parser.missing_value_bytes()
+            if missing_bytes and self.count_received_bytes() >= missing_bytes:
+                self._body.note_last_byte(self._owner.deadlines.earliest_arrival(now))
+
     def _on_body_pause_changed(self) -> None:
         self._last_activity_at = clock.now()
         self._update_reading()
@@ -205,6 +221,7 @@
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
         if self._slots and self._slots[0].is_buffering_over(now):
             self._flush()
+        self._check_body(now)
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
             idle_timeout = 0.0  # a client that sent nothing for the grace period is disconnected; PING keeps it
@@ -226,6 +243,14 @@
         ) and not has_unread_bytes(self.transport):
             self.finish()
 
+    def _check_body(self, now: float) -> None:
+        # Ends the attempt of a request whose time is over, or may be over because its client is not read from.
+        slot = self._body.slot
+        if slot is not None:
+            self._body.resume()
+            if self._body.expire(now) and slot.request is not None:
+                self._owner.dispatcher.on_body_received(slot.request.id, now)
+
     def evict(self) -> None:
         """Close the connection now, because its slot is given to another client."""
         self.is_evicted = True
@@ -282,8 +307,9 @@
                 seconds=round(seconds_late, 3),
             )
         self._store_response(slot, response)
-        if slot.body is not None and response.stream is None:
-            slot.body.discard()
+        if slot.request_body is not None and response.stream is None:
+            slot.request_body.cancel()
+            slot.request_body = None
         if self._slots and self._slots[0] is slot:
             self._flush()
         if self._memory.used_bytes > self._memory.max_bytes:
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -12,6 +12,7 @@
 from thymeflow.core.dispatcher import RequestDispatcher
 from thymeflow.decision.settings import GatewaySettings
 from thymeflow.frontend.client_connection import ClientConnection
+from thymeflow.frontend.limits import FrontendLimits
 from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.frontend.timeouts import CROWDED_IDLE_TIMEOUT, DRAIN_GRACE, IDLE_TIMEOUT
 from thymeflow.runtime import clock, log
@@ -19,6 +20,7 @@
 from thymeflow.runtime.slot_table import SlotTable
 from thymeflow.transport.commands import CallReader
 from thymeflow.transport.connections import has_unread_bytes
+from thymeflow.transport.value_stream import BufferMemory
 
 SWEEP_INTERVAL = 0.1  # seconds between checks of the timeouts
 # If this fraction of the connections is in use, connections are scarce and the idle timeout is shorter. Clients limit
@@ -52,19 +54,18 @@
         settings: GatewaySettings,
         deadlines: clock.Deadlines,
         owner: FrontendOwner,
-        max_clients: int,
-        max_pending_response_bytes: int,
-        max_unfinished_input_bytes: int,
+        limits: FrontendLimits,
     ) -> None:
         self.dispatcher = dispatcher
         self.reader = CallReader(settings)
         self.deadlines = deadlines
         self._owner = owner
-        self.response_memory = ResponseMemory(max_pending_response_bytes)
+        self.response_memory = ResponseMemory(limits.response_bytes)
+        self.body_memory = BufferMemory(limits.body_bytes)
         self._unfinished_input_bytes = 0  # buffered bytes of incomplete commands
-        self._max_unfinished_input_bytes = max_unfinished_input_bytes
-        self._max_clients = max_clients
-        self.clients: SlotTable[ClientConnection] = SlotTable(max_clients)
+        self._max_unfinished_input_bytes = limits.unfinished_input_bytes
+        self._max_clients = limits.max_clients
+        self.clients: SlotTable[ClientConnection] = SlotTable(limits.max_clients)
         self._evicting_count = 0  # evicted connections that have not ended yet
         self.accepted_count = 0  # connections accepted since the start, including those closed at once
         self.is_draining = False  # a connection is closed after its last response, or when it becomes idle
@@ -139,12 +140,13 @@
             None,
         )
 
-    def set_limits(self, max_clients: int, max_pending_response_bytes: int, max_unfinished_input_bytes: int) -> None:
+    def set_limits(self, limits: FrontendLimits) -> None:
         """Set the bounds for connections and bytes that arrive from now on."""
-        self._max_clients = max_clients
-        self.response_memory.set_max_bytes(max_pending_response_bytes)
-        self._max_unfinished_input_bytes = max_unfinished_input_bytes
-        self.clients.set_limit(max_clients)
+        self._max_clients = limits.max_clients
+        self.response_memory.set_max_bytes(limits.response_bytes)
+        self.body_memory.max_bytes = limits.body_bytes
+        self._max_unfinished_input_bytes = limits.unfinished_input_bytes
+        self.clients.set_limit(limits.max_clients)
 
     def on_input_buffered(self, change: int) -> None:
         """Add `change` to the number of buffered bytes of incomplete commands.
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -208,6 +208,8 @@
         self._add_pending(-self._pending_bytes)
         for slot in slots:
             self._release_memory(slot)
+            if slot.request_body is not None:
+                slot.request_body.cancel()
             if slot.response_deferred is not None and slot.response is None:
                 slot.response_deferred.cancel()
             elif slot.response_stream is not None:
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -21,6 +21,7 @@
         "deadline",
         "is_started",
         "request",
+        "request_body",
         "reserved_bytes",
         "response",
         "response_deferred",
@@ -34,6 +35,7 @@
         self.request = request
         self.response_deferred: Deferred[Response] | None = None
         self.body = body  # an incomplete streamed request body, whose end the response waits for
+        self.request_body = body  # the same body also after it has arrived, while a backend has not taken all of it
         self.response_stream: ValueStream | None = None  # a streamed response, whose head is `response`
         self.is_started = False  # the head of a streamed response has been written
         self.deadline = inf  # time until which the client waits; inf while the body of its request is incomplete
--- a/thymeflow/limiter/assembly.py
+++ b/thymeflow/limiter/assembly.py
@@ -14,6 +14,7 @@
 from thymeflow.decision.settings import DiscoveryMode, GatewaySettings
 from thymeflow.discovery.watch import FIRST_LIST_TIMEOUT, EndpointWatcher
 from thymeflow.frontend.frontend import Frontend
+from thymeflow.frontend.limits import FrontendLimits
 from thymeflow.frontend.listener import bind_listener, start_listening
 from thymeflow.limiter.lifecycle import TERMINATION_LINGER, Lifecycle
 from thymeflow.limiter.management import BACKLOG, ManagementServer
@@ -26,10 +27,11 @@
 
 # Fraction of the file descriptors for clients; the backends get the other descriptors.
 CLIENT_FRACTION = 0.7
-# Fractions of the memory limit for requests in flight, for responses that clients have not read, and for incomplete
-# commands.
-REQUEST_MEMORY_FRACTION = 0.25
+# Fractions of the memory limit for requests in flight, for responses that clients have not read, for long bodies that
+# backends have not taken, and for incomplete commands.
+REQUEST_MEMORY_FRACTION = 0.15
 RESPONSE_MEMORY_FRACTION = 0.15
+BODY_MEMORY_FRACTION = 0.15
 INPUT_MEMORY_FRACTION = 0.05
 PREDECESSOR_OTHER_DESCRIPTORS = 16  # descriptors of a predecessor that are not counted as its connections
 MIN_CONNECTIONS = 24  # lower bound, even if a predecessor still has all descriptors open
@@ -39,11 +41,9 @@
 class Budgets(NamedTuple):
     """The limits of this process: connections to clients and to backends, and bytes by purpose."""
 
-    client_connections: int
     backend_connections: int
     request_bytes: int
-    response_bytes: int
-    unfinished_input_bytes: int
+    frontend: FrontendLimits
 
 
 def compute_longest_deadline(settings: GatewaySettings) -> float:
@@ -135,9 +135,7 @@
             self.configuration.settings,
             self.deadlines,
             self,
-            budgets.client_connections,
-            budgets.response_bytes,
-            budgets.unfinished_input_bytes,
+            budgets.frontend,
         )
 
     def _build_discovery(self) -> EndpointWatcher:
@@ -228,7 +226,7 @@
     def share_limits_with_predecessor(self, predecessor_descriptors: int | None) -> None:
         """Leave a part of the limits to a predecessor with this number of open descriptors; None: it has ended."""
         budgets = self._compute_budgets(predecessor_descriptors)
-        self.frontend.set_limits(budgets.client_connections, budgets.response_bytes, budgets.unfinished_input_bytes)
+        self.frontend.set_limits(budgets.frontend)
         self.backends.set_max_connections(budgets.backend_connections)
         self.dispatcher.set_memory_limit(budgets.request_bytes)
 
@@ -240,13 +238,13 @@
             connections = max(MIN_CONNECTIONS, available)
             memory //= 2
         client_connections = int(connections * CLIENT_FRACTION)
-        return Budgets(
+        limits = FrontendLimits(
             client_connections,
-            connections - client_connections,
-            int(memory * REQUEST_MEMORY_FRACTION),
             int(memory * RESPONSE_MEMORY_FRACTION),
+            int(memory * BODY_MEMORY_FRACTION),
             int(memory * INPUT_MEMORY_FRACTION),
         )
+        return Budgets(connections - client_connections, int(memory * REQUEST_MEMORY_FRACTION), limits)
 
     def on_handover_changed(self, is_handed_over: bool) -> None:
         """Stop accepting clients after a handover to a successor, or accept them again if the handover failed."""
--- a/thymeflow/transport/connections.py
+++ b/thymeflow/transport/connections.py
@@ -18,6 +18,7 @@
 from collections.abc import Callable
 from typing import Any, TypeVar
 
+from twisted.internet.abstract import FileDescriptor
 from twisted.internet.defer import Deferred
 from twisted.internet.interfaces import IAddress, IConnector, IPullProducer
 from twisted.internet.protocol import ClientFactory, Protocol, connectionDone
@@ -55,6 +56,8 @@
     return True
 
 
+DEFAULT_READ_BYTES = FileDescriptor.bufferSize
+
 # Poll events which show that the peer has closed the connection. Reading would show the close only after all earlier
 # bytes are read, and never while the connection is not read from.
 _PEER_CLOSED_EVENTS = getattr(select, "POLLRDHUP", 0) | select.POLLHUP | select.POLLERR
@@ -65,6 +68,7 @@
     """A connection, inbound or outbound, that writes immediately and knows when its buffer is empty."""
 
     transport: Any
+    max_read_bytes = DEFAULT_READ_BYTES  # bytes that are read at a time
     flushed = True  # all written bytes have gone to the kernel
     on_connected: Callable[[Any], None] | None = None  # called once, when the connection is up
 
@@ -106,10 +110,14 @@
 
         If the kernel buffered megabytes at once, a slow reader could not be told from a stalled one.
         """
-        self.transport.bufferSize = CHUNK_BYTES
+        self.set_max_read_bytes(CHUNK_BYTES)
         with contextlib.suppress(OSError):
             self.transport.getHandle().setsockopt(socket.SOL_SOCKET, socket.SO_SNDBUF, 2 * CHUNK_BYTES)
 
+    def set_max_read_bytes(self, max_bytes: int) -> None:
+        """Set the number of bytes that are read at a time."""
+        self.transport.bufferSize = self.max_read_bytes = max_bytes
+
     def write(self, data: bytes) -> None:
         """Write bytes after those already written; `flushed` shows whether all have gone to the kernel."""
         if self.flushed:
--- a/thymeflow/transport/value_stream.py
+++ b/thymeflow/transport/value_stream.py
@@ -1,17 +1,18 @@
 """Passes one long value from a source to a sink, one chunk at a time and without I/O.
 
 The value is a request body or a response. The source pushes each chunk that has arrived and can be paused. The sink
-writes chunks, and its `flushed` shows whether its buffer has gone to the kernel. A chunk that the sink has no capacity
-for is buffered here, and the source is paused until the sink has written it.
+writes chunks, and its `flushed` shows whether its buffer has gone to the kernel. Bytes that the sink has no capacity
+for are buffered here, and the source is paused until the sink has written them. A stream with a `BufferMemory` pauses
+its source only when that memory is used up.
 """
 
 from __future__ import annotations
 
-from collections import deque
 from collections.abc import Callable
+from math import inf
 from typing import Protocol
 
-# Bytes read at a time from a connection that brings a long value. This bounds the bytes that are buffered here.
+# Bytes read at a time from a connection that brings a long response, and written at a time to every sink.
 CHUNK_BYTES = 32 * 1024
 
 
@@ -52,6 +53,20 @@
     """Do nothing; the default of callbacks."""
 
 
+class BufferMemory:
+    """Counts the bytes that several streams buffer, against one bound that they may exceed by a chunk each."""
+
+    __slots__ = ("max_bytes", "used_bytes")
+
+    def __init__(self, max_bytes: int) -> None:
+        self.used_bytes = 0
+        self.max_bytes = max_bytes
+
+    def has_capacity(self) -> bool:
+        """Return whether a stream may buffer more bytes."""
+        return self.used_bytes < self.max_bytes
+
+
 class ValueStream:
     """A value of a known length in bytes, while it is in transit.
 
@@ -66,17 +81,19 @@
         on_pause_changed: Callable[[bool], None],
         on_abandoned: Callable[[], None],
         check_source: Callable[[], None] = _do_nothing,
+        memory: BufferMemory | None = None,
     ) -> None:
         self.length = length
-        self.deadline = 0.0  # the time until which the sender of a complete body waits for the response
+        self.deadline = inf  # the time until which the sender of a complete body waits for the response
         self.is_done = False  # the value is complete, broken or abandoned, and the sink has been notified
+        self.is_expired = False  # the value was ended by `expire`
         self.is_paused = False  # the source is paused
         self._on_pause_changed = on_pause_changed
         self._on_abandoned = on_abandoned
         self._check_source = check_source
         self.arrived_bytes = 0
-        self.buffered_bytes = 0  # bytes that have arrived and are not written to the sink
-        self._buffer: deque[bytes] = deque()
+        self._buffer = bytearray()  # bytes that have arrived and are not written to the sink
+        self._memory = memory
         self._is_ended = False
         self._is_broken = False
         self._is_prefetching = False  # the source is not paused, and the value is buffered completely if need be
@@ -87,10 +104,15 @@
     # Methods for the source.
 
     def push(self, data: bytes) -> None:
-        """Accept the next bytes from the source."""
+        """Accept the next bytes from the source; they are discarded if the value has no reader any more."""
         self.arrived_bytes += len(data)
-        self.buffered_bytes += len(data)
-        self._buffer.append(data)
+        if self.is_done:
+            return
+        if self._sink is not None and self._sink.flushed and not self._buffer and len(data) <= CHUNK_BYTES:
+            self._sink.write_chunk(data)
+        else:
+            self._buffer += data
+            self._count_memory(len(data))
         self.resume()
 
     def finish(self) -> None:
@@ -108,6 +130,37 @@
             self.resume()
             self._notify_arrived()
 
+    def expire(self) -> None:
+        """End a value that its sink has not taken in time: buffered bytes and those to come are discarded."""
+        self.is_expired = not self.is_done
+        self.cancel()
+
+    def cancel(self) -> None:
+        """End a value that nobody needs any more: buffered bytes and those to come are discarded."""
+        if self.is_done:
+            return
+        self.is_done = True
+        self._clear_buffer()
+        self._on_complete = _do_nothing
+        self._on_arrived = _do_nothing
+        if self._sink is not None:
+            self._sink.on_broken()
+        self._update_pause()
+
+    def _count_memory(self, change: int) -> None:
+        if self._memory is not None:
+            self._memory.used_bytes += change
+
+    def _clear_buffer(self) -> None:
+        self._count_memory(-len(self._buffer))
+        self._buffer = bytearray()
+
+    def _take_chunk(self) -> bytes:
+        chunk = bytes(self._buffer[:CHUNK_BYTES])
+        del self._buffer[:CHUNK_BYTES]
+        self._count_memory(-len(chunk))
+        return chunk
+
     def _notify_arrived(self) -> None:
         on_arrived = self._on_arrived
         self._on_arrived = _do_nothing  # the callback may refer to the owner of this stream
@@ -132,7 +185,7 @@
 
     def count_forwarded_bytes(self) -> int:
         """Return the number of bytes that were written to the sink."""
-        return self.arrived_bytes - self.buffered_bytes
+        return self.arrived_bytes - len(self._buffer)
 
     def has_arrived(self) -> bool:
         """Return whether no more bytes are expected, because the value is complete or broken."""
@@ -159,23 +212,29 @@
     def discard(self) -> None:
         """Discard the bytes that are buffered and those that still arrive."""
         if not self.is_done:
+            self._clear_buffer()
             self.attach(NULL_SINK)
 
     def resume(self) -> None:
         """Write buffered chunks while the sink has capacity, and let the source continue once none is buffered."""
         sink = self._sink
         while self._buffer and sink is not None and sink.flushed:
-            chunk = self._buffer.popleft()
-            self.buffered_bytes -= len(chunk)
-            sink.write_chunk(chunk)
+            sink.write_chunk(self._take_chunk())
         if sink is not None and not self._buffer and self._is_ended and not self.is_done:
             self.is_done = True
             if self._is_broken:
                 sink.on_broken()
             else:
                 sink.end()
-        has_capacity = self._is_prefetching or (sink is not None and sink.flushed and not self._buffer)
-        should_pause = not self.is_done and not has_capacity
+        self._update_pause()
+
+    def _has_capacity(self) -> bool:
+        if self._is_prefetching or (self._memory is not None and self._memory.has_capacity()):
+            return True
+        return self._sink is not None and self._sink.flushed and not self._buffer
+
+    def _update_pause(self) -> None:
+        should_pause = not self.is_done and not self._has_capacity()
         if should_pause != self.is_paused:
             self.is_paused = should_pause
             self._on_pause_changed(should_pause)
@@ -186,6 +245,5 @@
             self.is_done = True
             self._sink = NULL_SINK
             self._on_arrived = _do_nothing
-            self._buffer.clear()
-            self.buffered_bytes = 0
+            self._clear_buffer()
             self._on_abandoned()
