Read ahead of waiting commands, and execute a few of one client's commands a turn

Requests of a client that had closed were tried again 0.3 s later, because its close lay behind commands that were not read: a client with 64 open commands was paused. Cause: one turn of the reactor executed all of the 64 KB that one read brought, and a connection that is not read from shows a close only if it fits into the receive queue. Change: commands that wait stay as bytes in CommandInput, up to 1 MiB a connection and 5% of the memory for all, so that reading goes on and finds the close; each keeps its time of arrival. At most 32 commands of a client and 5 ms in all run in a turn (InputScheduler). A client that has sent more than may wait is rejected with -BUSY until all is read. Replies without a request share a slot.

--- a/tests/frontend/test_limits.py
+++ b/tests/frontend/test_limits.py
@@ -43,6 +43,7 @@
             frontend.response_memory.max_bytes,
             frontend._max_unfinished_input_bytes,
             frontend.body_memory.max_bytes,
+            frontend.read_ahead_memory.max_bytes,
             dispatcher._requests._memory_limit,
         )
 
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -12,14 +12,16 @@
 from twisted.internet.protocol import connectionDone
 from twisted.python.failure import Failure
 
-from thymeflow.core.dispatcher import RequestDispatcher
-from thymeflow.core.types import IncomingRequest, Response
+from thymeflow.core.dispatcher import CAPACITY_RETRY_AFTER, RequestDispatcher
+from thymeflow.core.types import IncomingRequest, Response, ResponseKind
 from thymeflow.frontend import timeouts
 from thymeflow.frontend.body_receiver import BodyReceiver
+from thymeflow.frontend.command_input import MAX_READ_AHEAD_BYTES, CommandInput
 from thymeflow.frontend.connection_commands import QUIT, ReadinessSource, answer_connection_command
 from thymeflow.frontend.eviction import NEVER_EVICTED, compute_eviction_score
+from thymeflow.frontend.input_scheduler import InputScheduler
 from thymeflow.frontend.pipeline import ResponsePipeline
-from thymeflow.frontend.pipeline_slot import PipelineSlot
+from thymeflow.frontend.pipeline_slot import PipelineSlot, encode_response
 from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
@@ -29,7 +31,11 @@
 from thymeflow.transport.value_stream import BufferMemory, ValueStream
 
 BODY_INDEX = 4  # the index of a command's body, which may arrive slowly; the items before it are the command's head
-MAX_PIPELINED_COMMANDS = 64  # a client with this many unanswered commands is not read from
+MAX_PIPELINED_COMMANDS = 64  # the commands of a client with this many unanswered ones wait
+MAX_PENDING_RESPONSE_BYTES = 1024 * 1024  # the same for a client with so many bytes of responses that wait
+MAX_COMMANDS_PER_TURN = 32  # commands of one client that are executed in one turn of the reactor
+MAX_REJECTIONS_PER_TURN = 500  # the same for a client whose commands are rejected because it has sent too many
+RESUME_SECONDS = 0.05  # time in which a client's machine sends on after it was not read from
 REQUEST_OVERHEAD_BYTES = 2048  # bytes of memory that a request takes in addition to its text
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
 LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
@@ -42,6 +48,8 @@
     """The interface of the frontend that accepted a client connection."""
 
     body_memory: BufferMemory
+    read_ahead_memory: BufferMemory
+    input_scheduler: InputScheduler
     deadlines: clock.Deadlines
     dispatcher: RequestDispatcher
     reader: CallReader
@@ -65,9 +73,15 @@
     def __init__(self, owner: ClientConnectionOwner, memory: ResponseMemory) -> None:
         super().__init__(memory)
         self._owner = owner
-        self._parser = resp.Parser(resp.MAX_LONG_VALUE)
+        self._input = CommandInput(owner.read_ahead_memory)
         self._command_started_at = 0.0  # time at which the incomplete command began
-        self._arrived_at = 0.0  # the earliest time at which the bytes being read can have arrived
+        self._connected_at = 0.0  # the earliest time at which the connection can have arrived
+        self._arrived_at = 0.0  # the earliest time at which the last byte of the command can have arrived
+        self._resumed_at = -inf  # time at which reading was last resumed
+        self._is_overrun = False  # reading had to stop, so that bytes or a close may wait at the client's machine
+        self._is_scheduled = False  # the scheduler will call `process_input`
+        self._is_executing = False  # a command is being executed
+        self._incomplete_bytes = 0  # bytes of an incomplete command as reported to the owner
         self._body = BodyReceiver()
         self.handle = -1
         self._is_reading = True  # whether the transport was last resumed, and not paused
@@ -81,22 +95,25 @@
         self.handle = self._owner.on_client_connected(self)
         self._idle_since = clock.now()
         self._last_activity_at = self._idle_since
-        self._arrived_at = self._owner.deadlines.earliest_arrival(self._idle_since)
+        self._connected_at = self._owner.deadlines.earliest_arrival(self._idle_since)
         super().connectionMade()
 
     def _update_reading(self) -> None:
-        # A client that does not read its responses is not read from either.
         if self._body.slot is not None:  # the body is read even if no further command is accepted
             should_read = not self._body.is_blocked
+        elif self._is_write_closed:
+            should_read = self._discarded_bytes < MAX_DISCARDED_BYTES
         else:
-            should_read = self.flushed and not self._is_closing and len(self._slots) < MAX_PIPELINED_COMMANDS
-        should_read = should_read or (self._is_write_closed and self._discarded_bytes < MAX_DISCARDED_BYTES)
+            should_read = not self._is_closing and self._input.has_capacity()
+            self._is_overrun = self._is_overrun or not (should_read or self._is_closing)
         if should_read != self._is_reading:
             self._is_reading = should_read
             if should_read:
+                self._resumed_at = clock.now()
                 self.transport.resumeProducing()
             else:
                 self.transport.pauseProducing()
+        self._schedule_input()
 
     def dataReceived(self, data: bytes) -> None:
         """Execute each command once it is complete; responses are sent in the order of the commands."""
@@ -104,42 +121,87 @@
             self._discarded_bytes += len(data)
             self._update_reading()
             return
-        owner = self._owner
-        buffered_before = self._parser.buffered_bytes()
-        was_incomplete = self._parser.is_incomplete()
-        parsed, fault = self._parser.feed(data)
         now = self._last_activity_at = clock.now()
+        if not self._input.is_incomplete():
+            self._command_started_at = now
+        self._input.append(data, self._find_arrival(now))
+        is_all_read = len(data) < self.max_read_bytes
+        if is_all_read and now - self._resumed_at > RESUME_SECONDS:
+            self._is_overrun = False
+        if not self._is_scheduled:
+            self._execute_waiting()
+        if self._body.slot is not None:
+            self._note_unread_body(now, is_all_read=is_all_read)
+
+    def _find_arrival(self, now: float) -> float:
         # The first command of a connection may have arrived as early as the connection itself, if that was accepted a
         # moment ago. Its time then includes a stall of this process since the connection arrived. The time of a command
         # that arrives in pieces or after a pause begins with its last byte.
-        is_first = not self._has_sent_command and not was_incomplete and now - self._idle_since < clock.STALL_THRESHOLD
-        self._arrived_at = min(owner.deadlines.earliest_arrival(now), self._arrived_at if is_first else inf)
-        if parsed or not was_incomplete:
-            self._command_started_at = now
-        for value in parsed:
-            if isinstance(value, LONG_VALUE_EVENTS):
-                self._on_long_value_event(value)
-            elif self._is_closing:
-                return
-            elif isinstance(value, list) and all(type(argument) is bytes for argument in value):
-                self._has_sent_command = True
-                self._idle_since = self._last_activity_at
-                if value:
-                    self._on_command(value)  # type: ignore[arg-type]  # checked above
-            elif isinstance(value, resp.LongValueBegin):
-                self._on_long_command(value)
-            else:
-                fault = "a command is an array of bulk strings"
-                break
+        arrived_at = self._owner.deadlines.earliest_arrival(now)
+        is_first = not self._has_sent_command and not self._input.is_incomplete()
+        if is_first and now - self._idle_since < clock.STALL_THRESHOLD:
+            arrived_at = min(arrived_at, self._connected_at)
+        return arrived_at
+
+    def _can_execute(self) -> bool:
+        # A client that does not read its responses, or has too many open commands, waits. One that has sent more than
+        # may wait is rejected instead: its close could not be found before all that it has sent is read.
         if self._body.slot is not None:
-            self._note_unread_body(now, is_all_read=len(data) < self.max_read_bytes)
-        owner.on_input_buffered(self._parser.buffered_bytes() - buffered_before)
-        if fault and (not self._is_closing or self._body.slot is not None):
-            self._on_malformed_input(fault)
+            return True
+        if not self.flushed or self._is_closing or self._pending_bytes >= MAX_PENDING_RESPONSE_BYTES:
+            return False
+        return self._is_overrun or len(self._slots) < MAX_PIPELINED_COMMANDS
+
+    def _schedule_input(self) -> None:
+        if self._input.is_waiting and not self._is_scheduled and not self._is_executing and self._can_execute():
+            self._is_scheduled = True
+            self._owner.input_scheduler.add(self)
+
+    def process_input(self) -> None:
+        """Execute some of the commands that wait; called by the scheduler."""
+        self._is_scheduled = False
+        self._execute_waiting()
+
+    def _execute_waiting(self) -> None:
+        incomplete_before = self._incomplete_bytes
+        self._is_executing = True
+        for _ in range(MAX_REJECTIONS_PER_TURN if self._is_overrun else MAX_COMMANDS_PER_TURN):
+            if not self._input.is_waiting or not self._can_execute():
+                break
+            events = self._input.take_events()
+            self._command_started_at = self._last_activity_at if events else self._command_started_at
+            for event in events:
+                self._on_event(event)
+        self._is_executing = False
+        if self._input.fault and (not self._is_closing or self._body.slot is not None):
+            self._on_malformed_input(self._input.fault)
+        elif self._is_closing and self._body.slot is None:
+            self._input.clear()
+        self._input.update_memory()
+        self._incomplete_bytes = 0 if self._input.is_waiting else self._input.count_bytes()
+        self._owner.on_input_buffered(self._incomplete_bytes - incomplete_before)
         self._flush()
-        if owner.is_draining and (self._has_sent_request or owner.is_closing) and not self._parser.is_incomplete():
+        self._finish_if_draining()
+
+    def _finish_if_draining(self) -> None:
+        is_ending = self._owner.is_draining and (self._has_sent_request or self._owner.is_closing)
+        if is_ending and not self._input.is_incomplete():
             self.finish()
 
+    def _on_event(self, event: resp.Event) -> None:
+        if isinstance(event, LONG_VALUE_EVENTS):
+            self._on_long_value_event(event)
+        elif isinstance(event, list) and all(type(argument) is bytes for argument in event):
+            self._has_sent_command = True
+            self._idle_since = self._last_activity_at
+            self._arrived_at = self._input.get_arrival()
+            if event:
+                self._on_command(event)  # type: ignore[arg-type]  # checked above
+        elif isinstance(event, resp.LongValueBegin):
+            self._on_long_command(event)
+        else:
+            self._on_malformed_input("a command is an array of bulk strings")
+
     def _on_long_command(self, begin: resp.LongValueBegin) -> None:
         # Submits a command with a long body once its head is complete. It is answered once the body is complete.
         self._has_sent_command = True
@@ -149,7 +211,7 @@
         if all(type(item) is bytes for item in arguments) and len(arguments) == BODY_INDEX and not begin.trailing_count:
             self._submit_request([*arguments, b""], body)  # type: ignore[list-item]  # checked above
         else:
-            self._reply(resp.error_reply("ERR a value is too long for this command"))
+            self._reply(resp.error_reply("ERR a value is too long for this command"), can_merge=False)
         self._body.begin(self._slots[-1], body)
 
     def _on_long_value_event(self, event: resp.LongValueChunk | resp.LongValueEnd | resp.LongValueArrayEnd) -> None:
@@ -160,7 +222,7 @@
             body = self._body.detach()
             self.set_max_read_bytes(DEFAULT_READ_BYTES)
             if slot.request is not None and slot.response is None:
-                last_byte_at = self._body.find_earliest_end(self._arrived_at)
+                last_byte_at = self._body.find_earliest_end(self._input.get_arrival())
                 slot.deadline = min(last_byte_at + slot.request.remaining, self._owner.exit_deadline)
                 body.deadline = slot.deadline
                 self._owner.dispatcher.on_body_received(slot.request.id, body.deadline)
@@ -171,10 +233,8 @@
         # Finds out whether the last byte of the incomplete body has arrived, though it is not read yet.
         if is_all_read:
             self._body.note_all_read(now)
-        elif not self._body.is_last_byte_known():
-            missing_bytes = self._parser.missing_value_bytes()
-            if missing_bytes and self.count_received_bytes() >= missing_bytes:
-                self._body.note_last_byte(self._owner.deadlines.earliest_arrival(now))
+        elif not self._body.is_last_byte_known() and self._input.is_body_end_here(self.count_received_bytes()):
+            self._body.note_last_byte(self._owner.deadlines.earliest_arrival(now))
 
     def _on_body_pause_changed(self) -> None:
         self._last_activity_at = clock.now()
@@ -184,8 +244,7 @@
         # The start of the next command is unknown, so that the connection ends after one error line.
         log.emit_rate_limited(LogKind.CLIENT_COMMAND_MALFORMED, f"a client's connection was closed: {fault}")
         self._body.fail()
-        self._owner.on_input_buffered(-self._parser.buffered_bytes())
-        self._parser = resp.Parser()
+        self._input.clear()
         self._reply(resp.error_reply(f"ERR Protocol error: {fault}"))
         self.finish()
 
@@ -198,12 +257,12 @@
         return not self._has_sent_command and now - self._idle_since < timeouts.DRAIN_GRACE
 
     def has_incomplete_command(self) -> bool:
-        """Return whether a command has begun and is incomplete."""
-        return self._parser.is_incomplete()
+        """Return whether commands wait to be executed, or one has begun and is incomplete."""
+        return self._input.is_incomplete()
 
     def get_input_backlog(self) -> tuple[bool, int]:
         """Return whether no command is open, and the number of buffered bytes of an incomplete command."""
-        return not self._slots, self._parser.buffered_bytes()
+        return not self._slots, self._incomplete_bytes
 
     def compute_eviction_score(self, now: float) -> float:
         """Return the score by which connections are evicted; see `eviction.compute_eviction_score`."""
@@ -232,10 +291,12 @@
         elif self._body.slot is not None:
             if not self._body.is_blocked and now - self._last_activity_at > timeouts.COMMAND_TIMEOUT:
                 self._on_malformed_input("a value was begun and not ended")
-        elif self._is_closing:
+        elif self._is_closing or self._input.is_waiting:
             return
-        elif self._parser.is_incomplete():
-            is_head = self._parser.awaited_item_index != BODY_INDEX  # a body may arrive slowly, but without long pauses
+        elif self._input.is_incomplete():
+            is_head = (
+                self._input.get_incomplete_item() != BODY_INDEX
+            )  # a body may arrive slowly, but without long pauses
             if now - (self._command_started_at if is_head else self._last_activity_at) > timeouts.COMMAND_TIMEOUT:
                 self._on_malformed_input("a command was begun and not ended")
         elif idle > (
@@ -265,19 +326,29 @@
             if name == QUIT:
                 self.finish()
 
-    def _reject_command(self, reason: str) -> None:
+    def _reject_command(self, reason: str, *, can_merge: bool) -> None:
         log.emit_rate_limited(LogKind.CLIENT_COMMAND_INVALID, f"command answered with an error: {reason}")
-        self._reply(resp.error_reply(f"ERR {reason}"))
+        self._reply(resp.error_reply(f"ERR {reason}"), can_merge=can_merge)
+
+    def _reject_for_overrun(self, *, can_merge: bool) -> None:
+        log.emit_rate_limited(
+            LogKind.BACKLOG, f"a request was rejected: more than {MAX_READ_AHEAD_BYTES} bytes wait on its connection"
+        )
+        rejection = encode_response(Response(ResponseKind.REJECTED, retry_after=CAPACITY_RETRY_AFTER))
+        self._reply(rejection, can_merge=can_merge)
 
     def _submit_request(self, arguments: list[bytes], body: ValueStream | None = None) -> None:
+        if self._is_overrun:
+            self._reject_for_overrun(can_merge=body is None)
+            return
         dispatcher = self._owner.dispatcher
         try:
             call, request = self._owner.reader.read(arguments)
         except CallError as error:
-            self._reject_command(str(error))
+            self._reject_command(str(error), can_merge=body is None)
             return
         if dispatcher.is_open(request.id):
-            self._reject_command("that id is in hand")
+            self._reject_command("that id is in hand", can_merge=body is None)
             return
         slot = PipelineSlot(None, request, body)
         self._has_sent_request = True
@@ -330,7 +401,8 @@
         """Cancel all open requests, because no response can reach the client any more."""
         self._is_closing = True
         self._body.fail()
-        self._owner.on_input_buffered(-self._parser.buffered_bytes())
-        self._parser = resp.Parser()
+        self._input.clear()
+        self._owner.on_input_buffered(-self._incomplete_bytes)
+        self._incomplete_bytes = 0
         self._cancel_slots()
         self._owner.on_client_lost(self)
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -12,6 +12,7 @@
 from thymeflow.core.dispatcher import RequestDispatcher
 from thymeflow.decision.settings import GatewaySettings
 from thymeflow.frontend.client_connection import ClientConnection
+from thymeflow.frontend.input_scheduler import InputScheduler
 from thymeflow.frontend.limits import FrontendLimits
 from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.frontend.timeouts import CROWDED_IDLE_TIMEOUT, DRAIN_GRACE, IDLE_TIMEOUT
@@ -62,6 +63,8 @@
         self._owner = owner
         self.response_memory = ResponseMemory(limits.response_bytes)
         self.body_memory = BufferMemory(limits.body_bytes)
+        self.read_ahead_memory = BufferMemory(limits.read_ahead_bytes)
+        self.input_scheduler = InputScheduler(deadlines)
         self._unfinished_input_bytes = 0  # buffered bytes of incomplete commands
         self._max_unfinished_input_bytes = limits.unfinished_input_bytes
         self._max_clients = limits.max_clients
@@ -145,14 +148,15 @@
         self._max_clients = limits.max_clients
         self.response_memory.set_max_bytes(limits.response_bytes)
         self.body_memory.max_bytes = limits.body_bytes
+        self.read_ahead_memory.max_bytes = limits.read_ahead_bytes
         self._max_unfinished_input_bytes = limits.unfinished_input_bytes
         self.clients.set_limit(limits.max_clients)
 
     def on_input_buffered(self, change: int) -> None:
         """Add `change` to the number of buffered bytes of incomplete commands.
 
-        If their number exceeds its bound, the client with the most bytes is evicted. Otherwise many commands that are
-        never completed could exceed the memory limit.
+        If their number exceeds its bound, the client with the most bytes is evicted, preferably one that has nothing
+        unread. Otherwise many commands that are never completed could exceed the memory limit.
         """
         self._unfinished_input_bytes += change
         if change > 0 and self._unfinished_input_bytes > self._max_unfinished_input_bytes:
@@ -161,7 +165,8 @@
                 f"{self._unfinished_input_bytes} bytes of incomplete commands are buffered; the client of the longest "
                 "was disconnected",
             )
-            self._evict(max(self.clients.items(), key=ClientConnection.get_input_backlog))
+            largest = nlargest(MAX_EVICTION_CANDIDATES, self.clients.items(), key=ClientConnection.get_input_backlog)
+            self._evict(next((client for client in largest if not has_unread_bytes(client.transport)), largest[0]))
 
     def _sweep(self, _: int) -> None:
         now = clock.now()
--- a/thymeflow/frontend/limits.py
+++ b/thymeflow/frontend/limits.py
@@ -11,4 +11,5 @@
     max_clients: int
     response_bytes: int  # responses that clients have not read
     body_bytes: int  # long request bodies that backends have not taken
+    read_ahead_bytes: int  # commands that wait for earlier ones
     unfinished_input_bytes: int  # incomplete commands
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -60,8 +60,13 @@
         # All written bytes have gone to the kernel, so that only responses waiting for earlier responses count.
         self._add_pending(sum(len(slot.response or b"") for slot in self._slots) - self._pending_bytes)
 
-    def _reply(self, encoded: bytes) -> None:
-        self._slots.append(PipelineSlot(encoded))
+    def _reply(self, encoded: bytes, *, can_merge: bool = True) -> None:
+        # Replies that follow each other share a slot, because a client may send very many commands that are answered at
+        # once, behind a request that is not.
+        if can_merge and self._slots and self._slots[-1].try_append(encoded):
+            self._add_pending(len(encoded))
+        else:
+            self._slots.append(PipelineSlot(encoded))
 
     def _store_response(self, slot: PipelineSlot, response: Response) -> None:
         slot.response = encode_response(response)
@@ -87,7 +92,7 @@
         return now < slot.buffering_deadline
 
     def _flush(self) -> None:
-        ready: list[bytes] = []
+        ready: list[bytes | bytearray] = []
         stream: ValueStream | None = None
         while self._slots and (slot := self._slots[0]).is_ready():
             if slot.response_stream is not None and not slot.response_stream.can_complete():
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -29,7 +29,10 @@
     )
 
     def __init__(
-        self, response: bytes | None = None, request: RequestReceived | None = None, body: ValueStream | None = None
+        self,
+        response: bytes | bytearray | None = None,
+        request: RequestReceived | None = None,
+        body: ValueStream | None = None,
     ) -> None:
         self.response = response  # the encoded response, or only its head if it is streamed; None until it is known
         self.request = request
@@ -42,6 +45,15 @@
         self.reserved_bytes = 0  # bytes of memory that are reserved for a streamed response
         self.buffering_deadline = inf  # time at which a streamed response begins though it has not arrived completely
 
+    def try_append(self, reply: bytes) -> bool:
+        """Append the reply to the next command, if this slot holds replies to commands without a request."""
+        if self.request is not None or self.response is None or self.body is not None:
+            return False
+        if not isinstance(self.response, bytearray):
+            self.response = bytearray(self.response)
+        self.response += reply
+        return True
+
     def is_ready(self) -> bool:
         """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
         return self.response is not None and self.body is None and not self.is_started
--- a/thymeflow/limiter/assembly.py
+++ b/thymeflow/limiter/assembly.py
@@ -28,11 +28,12 @@
 # Fraction of the file descriptors for clients; the backends get the other descriptors.
 CLIENT_FRACTION = 0.7
 # Fractions of the memory limit for requests in flight, for responses that clients have not read, for long bodies that
-# backends have not taken, and for incomplete commands.
+# backends have not taken, for commands that wait for earlier ones, and for incomplete commands.
 REQUEST_MEMORY_FRACTION = 0.15
 RESPONSE_MEMORY_FRACTION = 0.15
 BODY_MEMORY_FRACTION = 0.15
-INPUT_MEMORY_FRACTION = 0.05
+READ_AHEAD_MEMORY_FRACTION = 0.05
+INPUT_MEMORY_FRACTION = 0.2
 PREDECESSOR_OTHER_DESCRIPTORS = 16  # descriptors of a predecessor that are not counted as its connections
 MIN_CONNECTIONS = 24  # lower bound, even if a predecessor still has all descriptors open
 CANNOT_LISTEN = 3  # exit code: the address is invalid or in use
@@ -242,6 +243,7 @@
             client_connections,
             int(memory * RESPONSE_MEMORY_FRACTION),
             int(memory * BODY_MEMORY_FRACTION),
+            int(memory * READ_AHEAD_MEMORY_FRACTION),
             int(memory * INPUT_MEMORY_FRACTION),
         )
         return Budgets(connections - client_connections, int(memory * REQUEST_MEMORY_FRACTION), limits)
--- a/thymeflow/transport/resp.py
+++ b/thymeflow/transport/resp.py
@@ -20,6 +20,7 @@
 MAX_ITEMS = 32  # items of an array; the longest that a peer sends has five
 MAX_LINE = 1024  # bytes of a simple string, an error or a length
 MAX_ERROR_TEXT = 200  # characters of an error reply that the limiter sends
+MAX_EVENTS = 1 << 30  # more messages than a call of `Parser.feed` finds
 LINE_END = b"\r\n"
 MAX_DIGITS = 18  # digits of a number, so that it fits into 64 bits
 
@@ -138,19 +139,20 @@
         """Return whether a message has begun and is incomplete."""
         return bool(self._buffer) or self._remaining_bytes >= 0 or self._missing_items >= 0
 
-    def feed(self, data: bytes) -> tuple[list[Event], str]:
+    def feed(self, data: bytes, max_events: int = MAX_EVENTS) -> tuple[list[Event], str]:
         """Return the messages that these bytes complete, and the text of a framing error after them.
 
-        The text is empty if there is no framing error.
+        The text is empty if there is no framing error. Bytes behind the first `max_events` messages are buffered and
+        parsed by the next call.
         """
         found: list[Event] = []
         try:
-            self._parse(data, found)
+            self._parse(data, found, max_events)
         except ProtocolError as fault:
             return found, str(fault)
         return found, ""
 
-    def _parse(self, data: bytes, found: list[Event]) -> None:
+    def _parse(self, data: bytes, found: list[Event], max_events: int) -> None:
         source: bytes | bytearray = data
         if self._buffer:
             self._buffer += data
@@ -159,7 +161,7 @@
         end = len(source)
         self.awaited_item_index = -1
         try:
-            while position < end:
+            while position < end and len(found) < max_events:
                 if self._remaining_bytes >= 0 or self._missing_items >= 0:
                     position = self._parse_long_value_step(source, position, found)
                     continue
