Keep 16,384 buckets at most, so that invented customers can't fill the memory

Cause: each customer named got a bucket of 1.2 KB that stays for 20 s; 14 s of such requests took the process from 33 to 100 MB. Change: at 16,384 buckets an eighth is dropped, those seen least recently and not in debt first, never one with an attempt in flight. A customer that returns sooner than 20 s after its bucket was dropped starts with that of a new customer.

--- a/tests/quota/test_token_bucket.py
+++ b/tests/quota/test_token_bucket.py
@@ -17,7 +17,8 @@
 from thymeflow.decision.actions import RejectRequest
 from thymeflow.decision.settings import Plan
 from thymeflow.decision.types import Status
-from thymeflow.quota.buckets import INITIAL_FILL_FRACTION
+from thymeflow.quota.buckets import INITIAL_FILL_FRACTION, MAX_BUCKETS
+from thymeflow.quota.counter_encoding import compute_customer_id
 from thymeflow.quota.token_bucket import TokenBucket
 
 FULL_BUCKETS_AT = 100.0  # Time in s after the gateway's start from which new buckets are full
@@ -235,3 +236,17 @@
     gateway = started(settings(plans=(plan,)))
     attempts = [sends(gateway.handle(FULL_BUCKETS_AT, request(f"r{n}", plan="few"))) for n in range(5)]
     assert [len(started_attempts) for started_attempts in attempts] == [1, 1, 0, 0, 0]
+
+
+def test_number_of_buckets_is_bounded_when_requests_come_under_ever_new_customers() -> None:
+    # Guards against a memory that grows with the names that one client invents.
+    gateway = started()
+    count = MAX_BUCKETS * 2
+    for number in range(count):
+        now = FULL_BUCKETS_AT + number * 1e-4
+        gateway.handle(now, request(f"steady{number}", 0.001, customer="steady"))
+        gateway.handle(now, request(f"r{number}", 40.0, customer=f"c{number}"))
+    steady = compute_customer_id("steady")
+    assert len(gateway.buckets) <= MAX_BUCKETS
+    assert steady in gateway.buckets
+    assert compute_customer_id(f"c{count - 1}") in gateway.buckets
--- a/thymeflow/quota/buckets.py
+++ b/thymeflow/quota/buckets.py
@@ -18,6 +18,10 @@
 # The bucket of an idle customer is assumed to be full again within this time. The time is also longer than a counter
 # window.
 IDLE_BUCKET_TTL_SECONDS = 20.0
+# Buckets that are kept at most, and the fraction of them that is dropped at a time, those of the customers seen least
+# recently first.
+MAX_BUCKETS = 16384
+DROPPED_FRACTION = 0.125
 MEAN_COST_WEIGHT = 0.1  # Weight of a new request in the running mean of a customer's request cost
 
 
@@ -61,6 +65,8 @@
         context = self._context
         bucket = self.by_customer.get(customer_id)
         if bucket is None:
+            if len(self.by_customer) >= MAX_BUCKETS:
+                self._drop_least_recently_seen()
             start = BucketStart(context.now, context.started_at, self.initial_fill)
             bucket = self.by_customer[customer_id] = self.create(plan, customer_id, start)
         bucket.last_seen_at = context.now
@@ -102,6 +108,14 @@
             bucket.plan = context.plans.get(bucket.plan.name, bucket.plan)
             bucket.must_rejoin_set = bucket.must_rejoin_set or fleet_size_changed
 
+    def _drop_least_recently_seen(self) -> None:
+        """Make room for buckets of new customers, which a client may name without end."""
+        unused = [bucket for bucket in self.by_customer.values() if not bucket.attempts_in_flight]
+        # A customer whose units became debt would be free of it without its bucket.
+        unused.sort(key=lambda bucket: (bucket.level < 0.0, bucket.last_seen_at))
+        for bucket in unused[: int(MAX_BUCKETS * DROPPED_FRACTION)]:
+            del self.by_customer[bucket.customer_id]
+
     def drop_idle(self) -> None:
         """Drop the buckets of idle customers. Most customers send one request only, so buckets would accumulate."""
         now = self._context.now
