Take back the deadline timer of a request that has ended

Cause: the gateway's deadline timer of a request stayed in two tables until the time that the client had told, up to 11 days. Change: closing a request forgets its timer, and the dispatcher cancels the scheduled call; actions are as before, so that decisions and the simulator's wire are unchanged.

--- a/tests/core/test_dispatcher.py
+++ b/tests/core/test_dispatcher.py
@@ -44,6 +44,9 @@
             raise RuntimeError(message)
         return []
 
+    def take_cancelled_timers(self) -> list[int]:
+        return []
+
 
 @pytest.mark.parametrize("raises", [True, False])
 def test_request_gets_one_response_when_the_gateway_fails(network: InMemoryNetwork, raises: bool) -> None:
--- a/tests/quota/test_token_bucket.py
+++ b/tests/quota/test_token_bucket.py
@@ -250,3 +250,14 @@
     assert len(gateway.buckets) <= MAX_BUCKETS
     assert steady in gateway.buckets
     assert compute_customer_id(f"c{count - 1}") in gateway.buckets
+
+
+def test_timers_do_not_outlive_their_requests_when_clients_would_wait_for_days() -> None:
+    # Guards against a memory that grows with the waits that clients tell.
+    gateway = started()
+    timers_before = len(gateway.timers)
+    for number in range(20):
+        (send,) = sends(gateway.handle(FULL_BUCKETS_AT + number, request(f"r{number}", remaining=1e6)))
+        gateway.handle(FULL_BUCKETS_AT + number, ended(f"r{number}", send, Status.OK))
+    assert len(gateway.timers) == timers_before
+    assert len(gateway.take_cancelled_timers()) == 20
--- a/thymeflow/core/dispatcher.py
+++ b/thymeflow/core/dispatcher.py
@@ -64,6 +64,7 @@
         self._requests = PendingRequests(_compute_max_requests(settings), memory_limit)
         self._events: deque[events.Event] = deque()
         self._is_running = False
+        self._timers: dict[int, clock.ScheduledCall] = {}  # by token
         self._counters = RequestCounters(deadlines)
         self.response_counts = dict.fromkeys(ResponseKind, 0)  # final responses since the start, by kind
         self._backends = backends
@@ -176,6 +177,8 @@
                     continue
                 for action in decided:
                     self._execute_action(action)
+                for token in self._gateway.take_cancelled_timers():
+                    self._cancel_timer(token)
         finally:
             self._is_running = False
 
@@ -195,9 +198,16 @@
         )
 
     def _set_timer(self, action: actions.SetTimer) -> None:
-        self._deadlines.schedule(clock.now() + action.delay, self._on_timer, action.token)
+        call = self._deadlines.schedule(clock.now() + action.delay, self._on_timer, action.token)
+        self._timers[action.token] = call
+
+    def _cancel_timer(self, token: int) -> None:
+        call = self._timers.pop(token, None)
+        if call is not None:
+            self._deadlines.cancel(call)
 
     def _on_timer(self, token: int) -> None:
+        self._timers.pop(token, None)
         self.handle(events.TimerFired(token))
 
     def _reject(self, action: actions.RejectRequest) -> None:
--- a/thymeflow/decision/context.py
+++ b/thymeflow/decision/context.py
@@ -37,6 +37,7 @@
         self.started_at = -inf  # Time of the first event in seconds.
         self.actions: list[Action] = []  # Actions decided for the current event so far.
         self.timers: dict[int, Timer] = {}  # Timers by token.
+        self.cancelled_timers: list[int] = []  # Tokens of timers that need not fire any more
         self._last_token = 0
         self.fleet_bounds: FleetBounds = LocalBounds()
         self.apply_settings(settings)
@@ -75,8 +76,20 @@
         """Append an action to the actions of the current event."""
         self.actions.append(action)
 
-    def set_timer(self, delay_seconds: float, kind: TimerKind, subject: str = "") -> None:
-        """Request a `TimerFired` event after a delay, and record the purpose of the timer."""
+    def set_timer(self, delay_seconds: float, kind: TimerKind, subject: str = "") -> int:
+        """Request a `TimerFired` event after a delay, record the purpose of the timer, and return its token."""
         self._last_token += 1
         self.timers[self._last_token] = Timer(kind, subject)
         self.actions.append(SetTimer(self._last_token, max(0.0, delay_seconds)))
+        return self._last_token
+
+    def cancel_timer(self, token: int) -> None:
+        """Forget a timer; its event is ignored if it comes, and an adapter may take the timer back."""
+        if self.timers.pop(token, None) is not None:
+            self.cancelled_timers.append(token)
+
+    def take_cancelled_timers(self) -> list[int]:
+        """Return the tokens of the timers that were cancelled since the last call."""
+        tokens = self.cancelled_timers
+        self.cancelled_timers = []
+        return tokens
--- a/thymeflow/decision/gateway.py
+++ b/thymeflow/decision/gateway.py
@@ -133,6 +133,10 @@
             handler(event)
         return actions
 
+    def take_cancelled_timers(self) -> list[int]:
+        """Return the tokens of timers that need not fire any more and were not returned before."""
+        return self.context.take_cancelled_timers()
+
     def _start(self) -> None:
         context = self.context
         context.started_at = context.now
--- a/thymeflow/decision/open_requests.py
+++ b/thymeflow/decision/open_requests.py
@@ -33,7 +33,7 @@
         request_id = pending.request.id
         self.by_id[request_id] = pending
         delay = pending.deadline - context.now - 2.0 * context.settings.timer_resolution
-        context.set_timer(delay, TimerKind.DEADLINE, request_id)
+        pending.deadline_timer = context.set_timer(delay, TimerKind.DEADLINE, request_id)
         self.start_attempt(pending, backend)
 
     def start_attempt(self, pending: RequestState, backend: BackendStats, start_within: float = inf) -> None:
@@ -83,5 +83,7 @@
             for number in in_flight:
                 self._context.emit(CancelAttempt(request_id, number))
         pending.is_answered = True
+        # Requests may end long before a deadline that their clients choose.
+        self._context.cancel_timer(pending.deadline_timer)
         if not in_flight:
             self.by_id.pop(request_id, None)
--- a/thymeflow/decision/request_state.py
+++ b/thymeflow/decision/request_state.py
@@ -34,6 +34,7 @@
     # The body of the request or of its response is forwarded while it arrives, so the request cannot be retried,
     # and its deadline does not end it.
     is_streaming: bool = False
+    deadline_timer: int = 0  # Token of the timer that ends the request
     is_capacity_released: bool = False  # The backend's capacity was released when the response began.
 
     def find_possibly_executed_attempts(self) -> list[AttemptRecord]:
