--- a/tests/wiring_support.py
+++ b/tests/wiring_support.py
@@ -35,6 +35,10 @@
         """Return the actions."""
         return self.decided
 
+    def take_cancelled_timers(self) -> list[int]:
+        """Return no timers, because none was set."""
+        return []
+
 
 @pytest.fixture
 def log_lines(monkeypatch: pytest.MonkeyPatch) -> list[str]:
