Execute a request once, also when its id comes again after its client left or to a successor

Cause: an id was known only while its request was open, and only to the process that had it. With an operators' port, and in daemons, they stand in a file that both processes of an upgrade map, because a client may come to the other process sooner than any message; without the file a process remembers its own. test_upgrade: the folder holds that file beside socket and link until the last process ends.

--- a/tests/handover/test_upgrade.py
+++ b/tests/handover/test_upgrade.py
@@ -60,7 +60,7 @@
     wait_until_ready(limiter)
     assert "handover: done" in terminate(old)
     assert ping(limiter) == b"+PONG"
-    assert len(list(limiter.state.iterdir())) == 2
+    assert len(list(limiter.state.iterdir())) == 3  # the control socket, the link to it, and the request ids
     terminate(limiter.process)
     assert not list(limiter.state.iterdir())
 
@@ -180,3 +180,18 @@
         wait_until_ready(limiter)
         terminate(old)
         assert ping(limiter) == b"+PONG"
+
+
+def test_request_is_not_executed_again_when_it_comes_again_at_the_other_process(limiter: Limiter) -> None:
+    client = limiter.connect()
+    client.send(request(1, "book"))
+    backend = limiter.backends[0].accept()
+    backend.read_command()
+    old = start_next_copy(limiter)
+    wait_until_ready(limiter)
+    client.close()
+    other_client = limiter.connect()
+    other_client.send(request(1, "book"))
+    assert other_client.line().startswith(b"-ERR")
+    assert limiter.backends[0].has_no_connection(0.1)
+    terminate(old)
--- a/tests/run_line/test_requests.py
+++ b/tests/run_line/test_requests.py
@@ -142,3 +142,26 @@
         verb, name, amount, ttl_ms = next(peer for peer in peers if peer.sock in ready).read_command()
         assert (verb, ttl_ms) == (b"INCRTTL", b"20000")
         assert counter_encoding.decode(int(name), float(amount))[0] == pytest.approx(1.0, abs=0.05)
+
+
+@pytest.mark.parametrize("reply", [b"", SERVED_REPLY, b"-ERR failed\r\n", b"-BUSY\r\n"])
+def test_request_is_executed_once_when_it_comes_again_after_its_client_left_or_was_answered(
+    tmp_path: Path, reply: bytes
+) -> None:
+    with Limiter(tmp_path) as limiter:
+        client = limiter.connect()
+        client.send(request(1, "book"))
+        backend = limiter.backends[0].accept()
+        backend.read_command()
+        if reply:
+            backend.send(reply)
+            client.line()
+        client.close()
+        other_client = limiter.connect()
+        other_client.send(request(1, "book"))
+        if reply == b"-BUSY\r\n":  # it was not executed
+            assert backend.read_command()[2] == b"%016x" % 1
+        else:
+            assert other_client.line().startswith(b"-ERR")
+            assert limiter.backends[0].has_no_connection(0.1)
+            assert not reply or backend.receives_nothing(0.0)
--- a/thymeflow/core/attempt_starter.py
+++ b/thymeflow/core/attempt_starter.py
@@ -6,11 +6,12 @@
 from math import inf
 from typing import Protocol
 
+from thymeflow.core.executed_requests import ExecutedRequests, LocalExecutedRequests
 from thymeflow.core.pending_requests import PendingRequests
 from thymeflow.core.request_counters import RequestCounters
 from thymeflow.core.types import AttemptResult, AttemptRunner, AttemptSpec, PendingRequest, Response, ResponseKind
 from thymeflow.decision import actions, events
-from thymeflow.decision.types import Status
+from thymeflow.decision.types import NOT_EXECUTED, Status
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport.value_stream import ValueStream
@@ -35,6 +36,7 @@
     def __init__(
         self, backends: AttemptRunner, requests: PendingRequests, counters: RequestCounters, owner: RequestOwner
     ) -> None:
+        self.executed_requests: ExecutedRequests = LocalExecutedRequests()
         self._backends = backends
         self._requests = requests
         self._counters = counters
@@ -58,6 +60,8 @@
         if pending.is_answered or number >= pending.max_attempts or now >= pending.deadline:
             self._on_attempt_ended(AttemptResult(Status.MOOT), pending, number, action.backend, now)
             return
+        if pending.incoming.request.is_write:
+            self.executed_requests.add(pending.id)
         deadline = pending.deadline
         if action.timeout and deadline < inf:
             deadline = min(deadline, now + max(0.0, action.timeout))
@@ -104,6 +108,7 @@
         self, result: AttemptResult, pending: PendingRequest, number: int, backend: int, sent_at: float
     ) -> None:
         pending.open_attempts.pop(number, None)
+        pending.may_have_executed = pending.may_have_executed or result.status not in NOT_EXECUTED
         self._counters.add(self._counters.attempts, result.status.name.lower())
         is_ok = result.status is Status.OK
         actual_units = None
@@ -129,4 +134,6 @@
             result.load_report,
         )
         self._owner.handle(event)
+        if pending.incoming.request.is_write and not pending.may_have_executed and not pending.open_attempts:
+            self.executed_requests.discard(pending.id)
         self._requests.remove_if_ended(pending)
--- a/thymeflow/core/dispatcher.py
+++ b/thymeflow/core/dispatcher.py
@@ -15,6 +15,7 @@
 from twisted.internet.defer import Deferred
 
 from thymeflow.core.attempt_starter import AttemptStarter
+from thymeflow.core.executed_requests import ExecutedRequests
 from thymeflow.core.pending_requests import PendingRequests
 from thymeflow.core.request_counters import RequestCounters
 from thymeflow.core.types import (
@@ -104,6 +105,14 @@
         """Return whether the request with an id has not ended."""
         return request_id in self._requests
 
+    def may_have_executed(self, request_id: str) -> bool:
+        """Return whether a backend may have executed a request that is not safe to repeat and had this id."""
+        return self._attempts.executed_requests.contains(request_id)
+
+    def share_executed_requests(self, executed_requests: ExecutedRequests) -> None:
+        """Remember executed requests together with another process from now on."""
+        self._attempts.executed_requests = executed_requests
+
     def submit(self, incoming: IncomingRequest) -> Deferred[Response]:
         """Submit a request and return a Deferred of its final response.
 
--- a/thymeflow/core/types.py
+++ b/thymeflow/core/types.py
@@ -121,6 +121,7 @@
         "is_answered",
         "is_settled",
         "max_attempts",
+        "may_have_executed",
         "open_attempts",
         "overdue_timer",
         "response_deferred",
@@ -137,6 +138,7 @@
         self.attempt_count = 0  # attempts begun so far, which is also the number of the next attempt
         self.open_attempts: dict[int, Deferred[AttemptResult]] = {}  # by attempt number
         self.is_answered = False
+        self.may_have_executed = False  # a backend may have executed an attempt that has ended
         self.is_settled = False  # the actual units were passed to the gateway
         self.overdue_timer = clock.NOT_SCHEDULED
         self.body_received_at = 0.0  # time at which a long body was complete
--- a/thymeflow/daemon/instance.py
+++ b/thymeflow/daemon/instance.py
@@ -17,6 +17,7 @@
 from thymeflow.decision.gateway import Gateway
 from thymeflow.handover.control_socket import ControlError, ControlServer, MessageHandler
 from thymeflow.handover.reactor_types import UnixReactor
+from thymeflow.handover.shared_executed_requests import share_executed_requests
 from thymeflow.limiter.assembly import Limiter, make_gateway
 from thymeflow.logs.structured import StructuredLog
 from thymeflow.outliers.member import MemberEjections
@@ -81,7 +82,7 @@
         self.exit_code = 0
 
     def get_file_path(self, suffix: str) -> Path:
-        """Return the path of a file of this instance: `lock`, `sock` or `state`."""
+        """Return the path of a file of this instance: `lock`, `sock`, `state` or `ids`."""
         return self.folder / f"{self.name}.{suffix}"
 
     def acquire_name(self) -> None:
@@ -131,6 +132,7 @@
         self.limiter = Limiter(
             initial, self.reactor, gateway, self._load_configuration, self.settings.daemon.drain_linger
         )
+        share_executed_requests(self.limiter, self.get_file_path("ids"))
         self.limiter.on_endpoints_applied = self.snapshots.on_endpoint_update
         self.limiter.on_endpoints_available = on_endpoints_known
         self.snapshots.on_endpoint_update(initial.endpoints)
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -350,6 +350,9 @@
         if dispatcher.is_open(request.id):
             self._reject_command("that id is in hand", can_merge=body is None)
             return
+        if request.is_write and dispatcher.may_have_executed(request.id):
+            self._reject_command("that id may have been executed", can_merge=body is None)
+            return
         slot = PipelineSlot(None, request, body)
         self._has_sent_request = True
         self._slots.append(slot)
--- a/thymeflow/handover/upgradable_limiter.py
+++ b/thymeflow/handover/upgradable_limiter.py
@@ -21,6 +21,7 @@
 from thymeflow.handover.reactor_types import UnixReactor
 from thymeflow.handover.receiver import HandoverReceiver
 from thymeflow.handover.sender import DELEGATED_STATES, HandoverSender
+from thymeflow.handover.shared_executed_requests import REQUEST_IDS_SUFFIX, share_executed_requests
 from thymeflow.handover.state_machine import ReceiverEvent, SenderEvent
 from thymeflow.limiter.assembly import CANNOT_LISTEN, Limiter
 from thymeflow.limiter.phases import Phase
@@ -50,6 +51,9 @@
         self.limiter.on_endpoints_applied = self.snapshots.on_endpoint_update
         self.limiter.on_endpoints_available = self._on_endpoints_ready
         self._path = _find_control_socket_path(initial.name)
+        self._request_ids_path = None if self._path is None else self._path.with_suffix(REQUEST_IDS_SUFFIX)
+        if self._request_ids_path is not None:
+            share_executed_requests(self.limiter, self._request_ids_path)
         self._control: ControlServer | None = None
         self._is_ending = False
         self._sender = HandoverSender(self)
@@ -77,8 +81,14 @@
         """Clean up after the reactor has stopped, and return the exit code."""
         if self._control is not None:
             self._control.remove_socket_file()
+            self._remove_request_ids()
         return self._exit_code or self.limiter.exit_code
 
+    def _remove_request_ids(self) -> None:
+        # A process that took over still uses the file; it has a control socket at the same path.
+        if self._path is not None and self._request_ids_path is not None and not os.path.lexists(self._path):
+            self._request_ids_path.unlink(missing_ok=True)
+
     def _on_endpoints_ready(self) -> None:
         if self._receiver is not None:
             self._receiver.on_endpoints_known()
