Send nothing for an earlier backend to the address that another one has now

Cause: where the start of the new backend was reported before the end of the earlier one, both had the same address in the pools, and each got its own share of requests there. After a restart under the same id, idle connections to the earlier process were kept: one that vanished can't close them, and a request on them counts as possibly executed. Attempts in flight go on: they may be on connections to the new process.

--- a/thymeflow/backends/backends.py
+++ b/thymeflow/backends/backends.py
@@ -65,11 +65,13 @@
                 self._retire(self._pools_by_id.pop(backend.id), BackendState.GONE)
                 pool = None
             if pool is None and address is not None:
-                self._pools_by_id[backend.id] = Pool(backend.id, address, backend.state)
-            elif pool is not None and backend.state is READY:
-                pool.state = READY
+                self._pools_by_id[backend.id] = Pool(backend, address)
             elif pool is not None:
-                self._retire(pool, backend.state)
+                self._close_idle_of_earlier_process(pool, backend.started)
+                if backend.state is READY:
+                    pool.state = READY
+                else:
+                    self._retire(pool, backend.state)
 
     def _retire(self, pool: Pool, state: BackendState) -> None:
         # No new attempt may be sent to a backend that is draining. Attempts that wait for a connection to it fail here.
--- a/thymeflow/backends/connections.py
+++ b/thymeflow/backends/connections.py
@@ -7,7 +7,7 @@
 
 from thymeflow.backends.replies import parse_attempt_result
 from thymeflow.core.types import AttemptResult
-from thymeflow.decision.types import BackendState, Status
+from thymeflow.decision.types import Backend, Status
 from thymeflow.platform.endpoints import Address
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
@@ -44,12 +44,13 @@
 class Pool:
     """The connections to one backend, and the attempts that wait for a connection."""
 
-    __slots__ = ("address", "dialing_count", "id", "idle", "state", "waiting_handles")
+    __slots__ = ("address", "dialing_count", "id", "idle", "started", "state", "waiting_handles")
 
-    def __init__(self, backend_id: int, address: Address, state: BackendState) -> None:
-        self.id = backend_id
+    def __init__(self, backend: Backend, address: Address) -> None:
+        self.id = backend.id
         self.address = address
-        self.state = state
+        self.state = backend.state
+        self.started = backend.started  # the start time of the backend's process, in seconds
         self.idle: list[Connection] = []  # the most recently used connection is last
         self.waiting_handles: deque[int] = deque()  # handles of the attempts for which a connection is being opened
         self.dialing_count = 0  # connections being opened
--- a/thymeflow/backends/pools.py
+++ b/thymeflow/backends/pools.py
@@ -4,6 +4,7 @@
 
 from thymeflow.backends.connections import Connection, Pool
 from thymeflow.decision.settings import Limits
+from thymeflow.platform.endpoints import Address
 from thymeflow.runtime import clock
 from thymeflow.transport.connections import has_unread_bytes
 
@@ -53,6 +54,17 @@
         self.open_connections -= len(pool.idle)
         pool.idle.clear()
 
+    def _close_idle_of_earlier_process(self, pool: Pool, started: float) -> None:
+        # A process that has started again knows nothing of the connections of the one before, and one that vanished
+        # could not close them. A request on them would count as one that may have been executed.
+        if started > pool.started:
+            pool.started = started
+            self._close_idle(pool)
+
+    def get_addresses(self) -> dict[int, Address]:
+        """Return the addresses of all backends, by id."""
+        return {backend_id: pool.address for backend_id, pool in self._pools_by_id.items()}
+
     def _close(self, connection: Connection) -> None:
         connection.abort_connection()
         self.open_connections -= 1
--- a/thymeflow/limiter/assembly.py
+++ b/thymeflow/limiter/assembly.py
@@ -170,6 +170,7 @@
 
     def on_endpoints_changed(self, update: endpoints.EndpointUpdate) -> None:
         """Apply a change of the endpoint list to the gateway and the connections."""
+        update = endpoints.mark_replaced_backends(update, self.backends.get_addresses())
         self.dispatcher.apply_endpoints(update.change, lambda: self.backends.apply_update(update))
         self.on_endpoints_applied(update)
         if update.addresses:
--- a/thymeflow/platform/endpoints.py
+++ b/thymeflow/platform/endpoints.py
@@ -4,6 +4,7 @@
 
 import hashlib
 import re
+from collections.abc import Mapping
 from math import isfinite
 from typing import Any, NamedTuple
 
@@ -106,3 +107,20 @@
         kind = EndpointListKind.FULL
     change = EndpointsChanged(kind, tuple(backends), int(message["generation"]))
     return EndpointUpdate(change, addresses)
+
+
+def mark_replaced_backends(update: EndpointUpdate, current_addresses: Mapping[int, Address]) -> EndpointUpdate:
+    """Return the update with the backends as gone whose address it gives to another one.
+
+    The end of the earlier backend may be reported later than the start of the new one, which must not get its requests.
+    """
+    owners = {address: backend_id for backend_id, address in update.addresses.items()}
+    changed_ids = {backend.id for backend in update.change.backends}
+    replaced = tuple(
+        Backend(backend_id, "", BackendState.GONE)
+        for backend_id, address in current_addresses.items()
+        if backend_id not in changed_ids and owners.get(address, backend_id) != backend_id
+    )
+    if not replaced:
+        return update
+    return update._replace(change=update.change._replace(backends=(*replaced, *update.change.backends)))
