Wait 30 s for the rest of a long response whose backend hangs

Cause: a long reply without a new byte for 5 s was taken for malformed and cut, although its backend went on later; the client has had its first bytes, so that nothing can take its place. Change: 30 s while bytes of the value are missing; still 5 s where only its end is missing, which no slow writer leaves out. Measured: a backend that hung 15 s in the middle was cut before and is passed on completely now; an answer that never ends holds a connection for 30 s instead of 5 unless its client leaves.

--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -129,3 +129,14 @@
     assert limiter.frontend.response_memory.reserved_bytes == len(VALUE)
     client.connectionLost()
     assert limiter.frontend.response_memory.reserved_bytes == 0
+
+
+def test_long_response_goes_on_when_its_backend_hung_in_the_middle_of_it(network: InMemoryNetwork) -> None:
+    # Guards against cutting off what a backend still gives.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1))
+    backend = network.complete_dial(-1)
+    backend.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    network.reactor.pump([0.5] * 30)
+    backend.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    assert client.transport.value() == resp.bulk(VALUE)
--- a/thymeflow/backends/backends.py
+++ b/thymeflow/backends/backends.py
@@ -15,7 +15,7 @@
 from thymeflow.backends.attempts import Attempt
 from thymeflow.backends.connections import NO_ATTEMPT, Connection, Pool
 from thymeflow.backends.pools import ConnectionPools
-from thymeflow.backends.streaming import LONG_VALUE_TIMEOUT, ValueStreaming, detach_streams
+from thymeflow.backends.streaming import LONG_REPLY_TIMEOUT, LONG_VALUE_TIMEOUT, ValueStreaming, detach_streams
 from thymeflow.core.types import AttemptResult, AttemptSpec
 from thymeflow.decision.settings import Limits
 from thymeflow.decision.types import BackendState, EndpointListKind, Status
@@ -223,13 +223,16 @@
             return
         reply_stream = connection.reply_stream
         now = clock.now()
-        stalled_at = connection.last_activity_at + (REPLY_STALL_TIMEOUT if reply_stream is None else LONG_VALUE_TIMEOUT)
+        timeout = REPLY_STALL_TIMEOUT
+        if reply_stream is not None:
+            timeout = LONG_REPLY_TIMEOUT if connection.is_value_incomplete() else LONG_VALUE_TIMEOUT
+        stalled_at = connection.last_activity_at + timeout
         if reply_stream is not None and reply_stream.is_paused:
-            stalled_at = now + LONG_VALUE_TIMEOUT  # the client reads slowly, and the backend is not at fault
+            stalled_at = now + LONG_REPLY_TIMEOUT  # the client reads slowly, and the backend is not at fault
         if stalled_at <= now:
             connection.on_malformed("a reply stopped before its end")
         else:
-            self._deadlines.schedule(stalled_at, self._check_reply, handle)
+            self._deadlines.schedule(min(stalled_at, now + LONG_VALUE_TIMEOUT), self._check_reply, handle)
 
     def on_malformed(self, connection: Connection) -> None:
         """End the attempt on a connection that was closed because malformed bytes arrived on it."""
--- a/thymeflow/backends/connections.py
+++ b/thymeflow/backends/connections.py
@@ -79,6 +79,10 @@
         missing_bytes = self._parser.missing_value_bytes()
         return missing_bytes > 0 and self.has_peer_closed() and self.count_received_bytes() < missing_bytes
 
+    def is_value_incomplete(self) -> bool:
+        """Return whether bytes of a long value are missing, and not just its terminator or the items after it."""
+        return self._parser.missing_value_bytes() > len(resp.LINE_END)
+
     def resumeProducing(self) -> None:
         """Write more of a streamed body, because the buffer has gone to the kernel."""
         super().resumeProducing()
--- a/thymeflow/backends/streaming.py
+++ b/thymeflow/backends/streaming.py
@@ -14,9 +14,12 @@
 from thymeflow.transport.commands import Call
 from thymeflow.transport.value_stream import ValueStream
 
-# Seconds after which a streamed reply without a new byte, or a streamed body of which the backend reads no byte, is
-# abandoned. A reply that still makes progress is never abandoned, because it would be lost.
+# Seconds after which a streamed body is abandoned of which the backend reads no byte, and a streamed reply of which only
+# the end is missing.
 LONG_VALUE_TIMEOUT = 5.0
+# Seconds without a new byte after which an incomplete streamed reply is abandoned. It is long, because a backend that
+# hung for a while would go on, and the client has no other response to expect.
+LONG_REPLY_TIMEOUT = 30.0
 
 
 class AttemptOwner(Protocol):
