Complete long responses that make progress before a process stops after SIGTERM

Cause: the process stopped by itself 1.7 s and the longest deadline after SIGTERM, also where SIGKILL had not come and a response was still on its way. Change: it stops at that time unless a response moves: a byte from the backend within 3 s, or one taken by the client within 1 s; 30 s later at the latest.

--- a/tests/run_line/test_lifecycle_wiring.py
+++ b/tests/run_line/test_lifecycle_wiring.py
@@ -15,8 +15,10 @@
     make_configuration,
     network,
 )
+from thymeflow.frontend.timeouts import REPLY_STALL_SECONDS
 from thymeflow.limiter.assembly import Limiter
 from thymeflow.limiter.lifecycle import (
+    DELIVERY_CHECK_INTERVAL,
     EVACUATION_DELAY,
     STOP_CHECK_INTERVAL,
     TERMINATION_LINGER,
@@ -190,6 +192,38 @@
     assert network.reactor.hasStopped
 
 
+def test_long_response_is_completed_when_its_backend_writes_slowly_while_the_process_drains(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against cutting off a response that a backend is still writing.
+    limiter, _ = build_serving_limiter(network)
+    client = connect_client(network, limiter)
+    client.dataReceived(request(1))
+    backend = network.complete_dial(0)
+    piece = b"x" * 10_000
+    backend.dataReceived(b"*3\r\n$%d\r\n" % (len(piece) * 10))
+    limiter.lifecycle.terminate(0.0)
+    for _ in range(10):
+        network.reactor.pump([0.1] * 19)
+        assert not network.reactor.hasStopped
+        backend.dataReceived(piece)
+    backend.dataReceived(b"\r\n$-1\r\n$-1\r\n")
+    assert client.transport.value().endswith(b"x\r\n")
+    client.connectionLost()
+    network.reactor.pump([STOP_CHECK_INTERVAL] * 2)
+    assert network.reactor.hasStopped
+
+
+def test_process_stops_when_a_backend_stops_in_the_middle_of_a_long_response(network: InMemoryNetwork) -> None:
+    limiter, _ = build_serving_limiter(network)
+    client = connect_client(network, limiter)
+    client.dataReceived(request(1))
+    network.complete_dial(0).dataReceived(b"*3\r\n$100000\r\nx")
+    limiter.lifecycle.terminate(0.0)
+    network.reactor.pump([0.1] * round((REPLY_STALL_SECONDS + DELIVERY_CHECK_INTERVAL) / 0.1 + 1))
+    assert network.reactor.hasStopped
+
+
 def test_process_stops_later_when_final_messages_need_time(network: InMemoryNetwork) -> None:
     limiter, _ = build_serving_limiter(network)
     limiter.lifecycle.on_stopping = lambda: 0.2
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -179,6 +179,10 @@
             connection.enforce_timeouts(now, idle_timeout)
         self.deadlines.schedule(now + SWEEP_INTERVAL, self._sweep)
 
+    def is_delivering(self, now: float) -> bool:
+        """Return whether a response that has begun is still on its way, and bytes of it moved a short time ago."""
+        return any(connection.is_delivering(now) for connection in self.clients.items())
+
     def close(self) -> None:
         """Accept no more connections, and drain the present ones."""
         self.is_closing = True
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -179,6 +179,14 @@
         """Return whether written bytes have not arrived at the client's machine, so that a close would discard them."""
         return not self.flushed or self.count_unacknowledged_bytes() > 0
 
+    def is_delivering(self, now: float) -> bool:
+        """Return whether a response that has begun is still on its way, and bytes of it moved a short time ago."""
+        seconds_still = now - self._last_activity_at
+        if self.has_undelivered_bytes():
+            return seconds_still < timeouts.READ_STALL_SECONDS
+        is_unfinished = bool(self._slots) and self._slots[0].is_started
+        return is_unfinished and seconds_still < timeouts.REPLY_STALL_SECONDS
+
     def _close_after_delivery(self, now: float) -> None:
         # Closes a connection whose client's machine has taken all bytes and had time to close its side, or has taken
         # none for too long. What the kernel has accepted may still have to wait for a client that reads slowly.
--- a/thymeflow/frontend/timeouts.py
+++ b/thymeflow/frontend/timeouts.py
@@ -4,6 +4,10 @@
 
 # The time in which a client must take some bytes of a pending response. It is long because some clients read slowly.
 WRITE_STALL_TIMEOUT = 10.0
+# The times after which a response does not keep a process from stopping: its client took no byte, or its backend wrote
+# none. Backends that write slowly pause for up to 2 s.
+READ_STALL_SECONDS = 1.0
+REPLY_STALL_SECONDS = 3.0
 # The time to the first complete command, the time for the head of a command, and the time between bytes of a body.
 COMMAND_TIMEOUT = 2.3
 # The idle timeout without an open command while connections are scarce. A client that has been idle for less may be
--- a/thymeflow/limiter/lifecycle.py
+++ b/thymeflow/limiter/lifecycle.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 from collections.abc import Callable
+from math import inf
 from typing import Any
 
 from thymeflow.core.dispatcher import RequestDispatcher
@@ -24,6 +25,9 @@
 TERMINATION_MARGIN = 0.2
 # Seconds past the longest deadline after which the process stops although a client has not read its response.
 UNREAD_RESPONSE_GRACE = 1.0
+# Seconds after that in which responses that make progress are completed, and between two checks whether they do.
+MAX_DELIVERY_SECONDS = 30.0
+DELIVERY_CHECK_INTERVAL = 0.5
 STOP_CHECK_INTERVAL = 0.05  # seconds between two checks whether abandoned attempts have ended
 
 
@@ -52,6 +56,7 @@
         self.listen_address = ""  # host:port of that port
         self._has_endpoints = False
         self._is_closed = False
+        self._latest_stop_at = inf  # time at which the process stops although responses are not complete
         # A callback that sends final messages and returns the seconds that they need.
         self.on_stopping: Callable[[], float] = lambda: 0.0
         self.on_phase: Callable[[Phase], None] = lambda _: None
@@ -140,7 +145,9 @@
             self._frontend.set_exit_deadline(now + TERMINATION_LINGER + awaited - TERMINATION_MARGIN)
             close_at = now + (self._linger if linger is None else linger)
             self._deadlines.schedule(close_at, self._on_linger_over)
-            self._deadlines.schedule(close_at + self._longest_deadline + UNREAD_RESPONSE_GRACE, self._complete_shutdown)
+            stop_at = close_at + self._longest_deadline + UNREAD_RESPONSE_GRACE
+            self._latest_stop_at = stop_at + MAX_DELIVERY_SECONDS
+            self._deadlines.schedule(stop_at, self._stop_after_delivery)
 
     def reload_settings(self) -> None:
         """Reload the configuration (SIGHUP), in every phase but STOPPED.
@@ -178,6 +185,14 @@
             # Abandoned attempts are still open; check again until they have ended.
             self._deadlines.schedule(clock.now() + STOP_CHECK_INTERVAL, lambda _: self._stop_if_idle())
 
+    def _stop_after_delivery(self, _: int) -> None:
+        # A response that has begun is completed, as long as backend and client make progress.
+        now = clock.now()
+        if now < self._latest_stop_at and self._frontend.is_delivering(now):
+            self._deadlines.schedule(now + DELIVERY_CHECK_INTERVAL, self._stop_after_delivery)
+        else:
+            self._complete_shutdown(0)
+
     def _complete_shutdown(self, _: int) -> None:
         if self.phase is not Phase.STOPPED:
             self._enter(Phase.STOPPED)
