--- a/thymeflow/backends/streaming.py
+++ b/thymeflow/backends/streaming.py
@@ -14,8 +14,8 @@
 from thymeflow.transport.commands import Call
 from thymeflow.transport.value_stream import ValueStream
 
-# Seconds after which a streamed body is abandoned of which the backend reads no byte, and a streamed reply of which only
-# the end is missing.
+# Seconds after which a streamed body is abandoned of which the backend reads no byte, and a streamed reply of which
+# only the end is missing.
 LONG_VALUE_TIMEOUT = 5.0
 # Seconds without a new byte after which an incomplete streamed reply is abandoned. It is long, because a backend that
 # hung for a while would go on, and the client has no other response to expect.
