Bound what hundreds of clients may make a process keep behind open requests

Cause: a client behind its own open request had every command of a 64 KB read executed, each with a pipeline slot of its own; and where the memory for responses was full, the client whose response came next was closed, however little it had pending. Change: commands are read 16 KB at a time (128 KB while a client is rejected until all is read, 256 KB for bodies); input that waits for its turn counts in the shared memory at once; a client with pending responses executes no more commands while half of the memory for responses is used; where it is exceeded, the client with the most pending bytes is closed.

--- a/tests/frontend/test_limits.py
+++ b/tests/frontend/test_limits.py
@@ -6,10 +6,19 @@
 
 from __future__ import annotations
 
+from typing import Any
+
 import pytest
 
-from tests.limiter import command
-from tests.network_support import InMemoryNetwork, make_limiter, network
+from tests.limiter import command, request
+from tests.network_support import (
+    InMemoryNetwork,
+    make_limiter,
+    make_limiter_with_client,
+    make_served_reply,
+    network,
+    parse_command,
+)
 from thymeflow.limiter.assembly import MIN_CONNECTIONS
 
 __all__ = ["network"]
@@ -54,3 +63,24 @@
     assert all(2 * part <= whole + 1 for part, whole in zip(both[2:], alone[2:], strict=True))
     limiter.share_limits_with_predecessor(None)
     assert read_budgets() == alone
+
+
+def test_client_with_the_most_pending_bytes_is_closed_when_the_memory_for_responses_is_full(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against closing a client that has only its own response to expect.
+    limiter, greedy = make_limiter_with_client(network)
+    modest = network.connect_protocol(limiter.frontend.buildProtocol(None))
+    greedy.dataReceived(request(1) + request(2))
+    modest.dataReceived(request(3))
+    backends: list[Any] = []
+    limiter.frontend.response_memory.set_max_bytes(1500)
+    for number in range(-3, 0):
+        backend = network.complete_dial(number)
+        if parse_command(backend.transport.value())[2] != b"%016x" % 1:  # the first one stays open
+            backends.append(backend)
+    modest.transport.handle.max_bytes = 0
+    for backend in sorted(backends, key=lambda peer: parse_command(peer.transport.value())[2]):
+        backend.dataReceived(make_served_reply(b"v" * 1000))
+    assert greedy.is_evicted
+    assert not modest.is_evicted
--- a/tests/run_line/test_input_floods.py
+++ b/tests/run_line/test_input_floods.py
@@ -22,6 +22,9 @@
 MEMORY_MB = 192
 BACKEND_COUNT = 10
 FLOOD_SECONDS = 2.0
+SMALL_MEMORY_MB = 96
+CLIENT_COUNT = 600
+CROWD_SECONDS = 4.0
 WAIT_MS = 500
 LATE_RESPONSE_SECONDS = 0.5  # after its time; a response that comes later counts as lost
 GONE_SECONDS = 0.1  # after a client's close, from which on no attempt of its requests may begin
@@ -140,6 +143,28 @@
     assert read_peak_memory_mb(limiter.process.pid) < MEMORY_MB
 
 
+@pytest.mark.parametrize("kind", ["ping", "unknown", "request"])
+def test_memory_stays_within_its_limit_when_hundreds_of_clients_send_behind_an_open_request(
+    tmp_path: Path, kind: str
+) -> None:
+    # Guards against commands, or the replies to them, that are kept without a bound while an earlier one is open.
+    filler = b"".join(FLOODS[kind](number) for number in range(20_000))
+    with Limiter(tmp_path, BACKEND_COUNT, memory=SMALL_MEMORY_MB) as limiter:
+        clients = [limiter.connect() for _ in range(CLIENT_COUNT)]
+        unsent = [memoryview(request(number) + filler) for number in range(CLIENT_COUNT)]
+        end = time.monotonic() + CROWD_SECONDS
+        while time.monotonic() < end:
+            for number, client in enumerate(clients):
+                client.sock.setblocking(False)
+                with suppress(OSError):
+                    unsent[number] = unsent[number][client.sock.send(unsent[number]) :]
+            time.sleep(0.01)
+        limiter.wait_for_reply(b"+PONG", command(b"PING"))
+        assert read_peak_memory_mb(limiter.process.pid) < SMALL_MEMORY_MB
+        for client in clients:
+            client.close()
+
+
 @pytest.mark.parametrize("command_count", [200, 3000, 20000])
 def test_nothing_is_retried_when_a_client_has_left_with_many_commands_unread(
     limiter: Limiter, command_count: int
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -27,18 +27,19 @@
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport import resp
 from thymeflow.transport.commands import QUERY, SUBMIT, CallError, CallReader
-from thymeflow.transport.connections import DEFAULT_READ_BYTES, has_unread_bytes
+from thymeflow.transport.connections import has_unread_bytes
 from thymeflow.transport.value_stream import BufferMemory, ValueStream
 
 BODY_INDEX = 4  # the index of a command's body, which may arrive slowly; the items before it are the command's head
 MAX_PIPELINED_COMMANDS = 64  # the commands of a client with this many unanswered ones wait
-MAX_PENDING_RESPONSE_BYTES = 1024 * 1024  # the same for a client with so many bytes of responses that wait
 MAX_COMMANDS_PER_TURN = 32  # commands of one client that are executed in one turn of the reactor
 MAX_REJECTIONS_PER_TURN = 500  # the same for a client whose commands are rejected because it has sent too many
 RESUME_SECONDS = 0.05  # time in which a client's machine sends on after it was not read from
 REQUEST_OVERHEAD_BYTES = 2048  # bytes of memory that a request takes in addition to its text
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
 LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
+COMMAND_READ_BYTES = 16 * 1024  # bytes that are read at a time, as many clients may send more than may be executed
+OVERRUN_READ_BYTES = 128 * 1024  # the same for a client whose commands are rejected until all of them are read
 BODY_READ_BYTES = 256 * 1024  # bytes of a long body that are read at a time
 LATE_RESPONSE_SECONDS = 0.05  # a response that comes so long after the deadline of its request is logged
 LONG_VALUE_EVENTS = (resp.LongValueChunk, resp.LongValueEnd, resp.LongValueArrayEnd)
@@ -63,6 +64,9 @@
     def on_input_buffered(self, change: int) -> None:
         """Add `change` to the number of buffered bytes of incomplete commands."""
 
+    def on_response_memory_exceeded(self) -> None:
+        """Disconnect a client, because too many bytes of responses are pending."""
+
     def on_client_lost(self, connection: ClientConnection) -> None:
         """Handle a connection that has ended and has no open requests left."""
 
@@ -97,6 +101,7 @@
         self._last_activity_at = self._idle_since
         self._connected_at = self._owner.deadlines.earliest_arrival(self._idle_since)
         super().connectionMade()
+        self.set_max_read_bytes(COMMAND_READ_BYTES)
 
     def _update_reading(self) -> None:
         if self._body.slot is not None:  # the body is read even if no further command is accepted
@@ -128,10 +133,16 @@
         is_all_read = len(data) < self.max_read_bytes
         if is_all_read and now - self._resumed_at > RESUME_SECONDS:
             self._is_overrun = False
-        if not self._is_scheduled:
+        if self._is_scheduled:
+            self._input.update_memory()
+            self._update_reading()
+        else:
             self._execute_waiting()
         if self._body.slot is not None:
             self._note_unread_body(now, is_all_read=is_all_read)
+        else:
+            has_memory = self._owner.read_ahead_memory.has_capacity()
+            self.set_max_read_bytes(OVERRUN_READ_BYTES if self._is_overrun and has_memory else COMMAND_READ_BYTES)
 
     def _find_arrival(self, now: float) -> float:
         # The first command of a connection may have arrived as early as the connection itself, if that was accepted a
@@ -148,7 +159,7 @@
         # may wait is rejected instead: its close could not be found before all that it has sent is read.
         if self._body.slot is not None:
             return True
-        if not self.flushed or self._is_closing or self._pending_bytes >= MAX_PENDING_RESPONSE_BYTES:
+        if not self.flushed or self._is_closing or (self._pending_bytes and not self._memory.has_capacity()):
             return False
         return self._is_overrun or len(self._slots) < MAX_PIPELINED_COMMANDS
 
@@ -220,7 +231,7 @@
         elif isinstance(event, resp.LongValueEnd) and self._body.slot is not None:
             slot = self._body.slot
             body = self._body.detach()
-            self.set_max_read_bytes(DEFAULT_READ_BYTES)
+            self.set_max_read_bytes(COMMAND_READ_BYTES)
             if slot.request is not None and slot.response is None:
                 last_byte_at = self._body.find_earliest_end(self._input.get_arrival())
                 slot.deadline = min(last_byte_at + slot.request.remaining, self._owner.exit_deadline)
@@ -248,6 +259,10 @@
         self._reply(resp.error_reply(f"ERR Protocol error: {fault}"))
         self.finish()
 
+    def get_pending_bytes(self) -> int:
+        """Return the number of bytes of responses that wait for earlier responses or for the client to read."""
+        return self._pending_bytes
+
     def compute_idle_seconds(self, now: float) -> float:
         """Return the seconds for which no command has been open, or 0 while a command is open."""
         return 0.0 if self._slots else now - self._idle_since
@@ -387,14 +402,7 @@
         if self._slots and self._slots[0] is slot:
             self._flush()
         if self._memory.used_bytes > self._memory.max_bytes:
-            # The process would be killed if it exceeded its memory limit. A client that pipelines commands behind its
-            # own slow request, or that does not read its responses, is disconnected instead.
-            log.emit_rate_limited(
-                LogKind.BACKLOG,
-                f"a client's connection was closed: {self._memory.used_bytes} bytes of responses are pending",
-                held=self._memory.used_bytes,
-            )
-            self.transport.abortConnection()
+            self._owner.on_response_memory_exceeded()
 
     def is_connected(self) -> bool:
         """Return whether the client is connected; its close is detected even if it has not been read."""
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -168,6 +168,19 @@
             largest = nlargest(MAX_EVICTION_CANDIDATES, self.clients.items(), key=ClientConnection.get_input_backlog)
             self._evict(next((client for client in largest if not has_unread_bytes(client.transport)), largest[0]))
 
+    def on_response_memory_exceeded(self) -> None:
+        """Disconnect the client with the most bytes of pending responses.
+
+        The process would be killed if it exceeded its memory limit. That client pipelines commands behind its own slow
+        request, or does not read its responses.
+        """
+        log.emit_rate_limited(
+            LogKind.BACKLOG,
+            f"a client's connection was closed: {self.response_memory.used_bytes} bytes of responses are pending",
+            held=self.response_memory.used_bytes,
+        )
+        self._evict(max(self.clients.items(), key=ClientConnection.get_pending_bytes))
+
     def _sweep(self, _: int) -> None:
         now = clock.now()
         # Clients limit the number of their connections. A client whose idle connection is kept open here may be unable
--- a/thymeflow/frontend/response_memory.py
+++ b/thymeflow/frontend/response_memory.py
@@ -20,6 +20,10 @@
         """Set the bound that applies to responses added from now on."""
         self.max_bytes = max_bytes
 
+    def has_capacity(self) -> bool:
+        """Return whether a client that already has pending responses may cause more of them."""
+        return self.used_bytes + self.reserved_bytes <= self.max_bytes // 2
+
     def reserve(self, size: int) -> bool:
         """Reserve `size` bytes for a long response, if it then takes half of the bound at most with all others."""
         if self.used_bytes + self.reserved_bytes + size > self.max_bytes // 2:
