Evict one client at a time when the memory for responses is exceeded

Cause: an evicted client's bytes are released a turn later, so that further responses in the same turn would have evicted further clients, in the end from an empty table. Change: none is evicted while an eviction is under way.

--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -179,7 +179,8 @@
             f"a client's connection was closed: {self.response_memory.used_bytes} bytes of responses are pending",
             held=self.response_memory.used_bytes,
         )
-        self._evict(max(self.clients.items(), key=ClientConnection.get_pending_bytes))
+        if not self._evicting_count:  # the bytes of an evicted client are released a turn later
+            self._evict(max(self.clients.items(), key=ClientConnection.get_pending_bytes))
 
     def _sweep(self, _: int) -> None:
         now = clock.now()
