Count the time of a command that waited from its arrival, also for the gateway

Cause: since commands wait as bytes, but the time that the gateway got was computed from the last activity of the connection, which may be older than the moment of execution; the gateway's own deadline then came too late, and the dispatcher's guard answered in its place. Change: the remaining time is taken at the moment of execution; a response to a command that was past its deadline when its turn came is not logged as late.

--- a/tests/frontend/test_connections.py
+++ b/tests/frontend/test_connections.py
@@ -187,3 +187,17 @@
                 limiter.backends[0].serve(SERVED)
                 is_served = client.read_bulk() == b"value"
         assert len(idle_clients) == 100
+
+
+def test_backend_is_told_the_time_that_is_left_when_a_command_waited_behind_others(network: InMemoryNetwork) -> None:
+    # Guards against a time that begins when a waiting command is executed, and not when it arrived.
+    limiter, client = make_limiter_with_client(network)
+    client.transport.handle.max_bytes = 0
+    client.dataReceived(command(b"PING"))
+    client.dataReceived(request(1, wait=3000))
+    network.reactor.advance(1.0)
+    assert not limiter.dispatcher.open_count()
+    client.transport.handle.max_bytes = 1000
+    client.resumeProducing()
+    network.reactor.advance(0.0)
+    assert b",d=2000," in network.complete_dial(-1).transport.value()
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -376,12 +376,14 @@
         size = REQUEST_OVERHEAD_BYTES + len(call.terms_before_wait) + len(call.terms_after_wait) + len(call.body or b"")
         exit_deadline = self._owner.exit_deadline
         deadline = min(self._arrived_at + request.remaining, exit_deadline) if body is None else inf
-        slot.deadline = deadline
-        is_late = self._last_activity_at - self._arrived_at > LATE_READ_SECONDS
+        # A command that waited for earlier ones may be past its deadline; the response to it is not late for that.
+        now = clock.now()
+        slot.deadline = max(deadline, now)
+        is_late = now - self._arrived_at > LATE_READ_SECONDS
         if body is None and (is_late or deadline == exit_deadline):
             # The request's time began when it arrived at this machine. The gateway gets the time that remains after a
-            # stall, and no more than remains until a process that is shutting down exits.
-            request = request._replace(remaining=deadline - self._last_activity_at)
+            # stall or behind earlier commands, and no more than remains until a process that is shutting down exits.
+            request = request._replace(remaining=deadline - now)
         slot.response_deferred = dispatcher.submit(IncomingRequest(request, deadline, call, size, self.is_connected))
         slot.response_deferred.addCallbacks(self._on_response, lambda _: None, callbackArgs=(slot,))
 
