Let the time of a long body count on while bytes of it wait unread

Cause: a read shorter than 256 KB counted as one that took all, though the receive queue is smaller; a body that was read again after a pause had its time begin anew, a full wait late. Change: the receive queue is asked after each read of a body; the time counts from the arrival of what waits unread until the queue was empty.

--- a/tests/frontend/test_disconnects.py
+++ b/tests/frontend/test_disconnects.py
@@ -132,7 +132,7 @@
     limiter, client = make_limiter_with_client(network)
     client.dataReceived(b"".join(request(n) for n in range(1, 500)))
     network.reactor.advance(0.11)
-    assert client._is_reading
+    assert client._pace.is_reading
     open_count = limiter.dispatcher.open_count()
     assert 0 < open_count <= MAX_PIPELINED_COMMANDS
     client.connectionLost()
@@ -153,7 +153,7 @@
     else:
         client.dataReceived(request(1))
         client.finish()
-    assert not client._is_reading
+    assert not client._pace.is_reading
     assert not client.aborted
     network.reactor.advance(0.11)
     assert not client.aborted
--- a/thymeflow/frontend/body_receiver.py
+++ b/thymeflow/frontend/body_receiver.py
@@ -2,8 +2,8 @@
 
 The body is read as fast as the client writes it, because the time of a request begins when its client has written the
 last byte. What the backend has not taken is buffered in a memory that all bodies share. Only while that memory is used
-up is the client not read from, and the time of the request then counts as begun, because the client's last byte may
-wait unread.
+up is the client not read from. The time of the request counts as begun while bytes of the body wait unread, because
+the client's last byte may be among them or behind them at its machine.
 
 The response to the request is held back until the body is complete.
 """
@@ -14,11 +14,10 @@
 from math import inf
 
 from thymeflow.frontend.pipeline_slot import PipelineSlot
+from thymeflow.frontend.read_pace import RESUME_SECONDS
 from thymeflow.runtime import clock
 from thymeflow.transport.value_stream import BufferMemory, ValueStream
 
-RESUME_SECONDS = 0.05  # time in which a client's machine sends on after it was not read from
-
 
 class BodyReceiver:
     """Receives the body of a connection's request; a connection receives one body at a time."""
@@ -65,7 +64,7 @@
         if self.slot is not None and self.slot.body is not None:
             self.slot.body.push(data)
 
-    def note_all_read(self, now: float) -> None:
+    def record_all_read(self, now: float) -> None:
         """Record that nothing of the incomplete body waits unread, so that its client has not written the last byte.
 
         It may still wait at the client's machine for a moment after reading was resumed.
@@ -73,7 +72,11 @@
         if not self.is_blocked and now - self._resumed_at > RESUME_SECONDS:
             self._unread_since = inf
 
-    def note_last_byte(self, moment: float) -> None:
+    def record_unread(self, moment: float) -> None:
+        """Record that more bytes wait unread, because the client writes faster than this process reads."""
+        self._unread_since = min(self._unread_since, moment)
+
+    def record_last_byte(self, moment: float) -> None:
         """Record that the last byte of the body has arrived at this machine by this time, though it is not read."""
         self._last_byte_at = min(self._last_byte_at, moment)
 
@@ -81,10 +84,6 @@
         """Return the earliest time at which the client can have written the last byte, at most `moment`."""
         return min(moment, self._last_byte_at, self._unread_since)
 
-    def is_last_byte_known(self) -> bool:
-        """Return whether the last byte is known to be at this machine."""
-        return self._last_byte_at < inf
-
     def resume(self) -> None:
         """Continue to read if the memory that all bodies share has capacity again."""
         if self.slot is not None and self.slot.body is not None:
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -22,6 +22,7 @@
 from thymeflow.frontend.input_scheduler import InputScheduler
 from thymeflow.frontend.pipeline import ResponsePipeline
 from thymeflow.frontend.pipeline_slot import PipelineSlot, encode_response
+from thymeflow.frontend.read_pace import BODY_READ_BYTES, COMMAND_READ_BYTES, ReadPace
 from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
@@ -34,13 +35,9 @@
 MAX_PIPELINED_COMMANDS = 64  # the commands of a client with this many unanswered ones wait
 MAX_COMMANDS_PER_TURN = 32  # commands of one client that are executed in one turn of the reactor
 MAX_REJECTIONS_PER_TURN = 500  # the same for a client whose commands are rejected because it has sent too many
-RESUME_SECONDS = 0.05  # time in which a client's machine sends on after it was not read from
 REQUEST_OVERHEAD_BYTES = 2048  # bytes of memory that a request takes in addition to its text
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
 LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
-COMMAND_READ_BYTES = 16 * 1024  # bytes that are read at a time, as many clients may send more than may be executed
-OVERRUN_READ_BYTES = 128 * 1024  # the same for a client whose commands are rejected until all of them are read
-BODY_READ_BYTES = 256 * 1024  # bytes of a long body that are read at a time
 LATE_RESPONSE_SECONDS = 0.05  # a response that comes so long after the deadline of its request is logged
 LONG_VALUE_EVENTS = (resp.LongValueChunk, resp.LongValueEnd, resp.LongValueArrayEnd)
 
@@ -81,14 +78,12 @@
         self._command_started_at = 0.0  # time at which the incomplete command began
         self._connected_at = 0.0  # the earliest time at which the connection can have arrived
         self._arrived_at = 0.0  # the earliest time at which the last byte of the command can have arrived
-        self._resumed_at = -inf  # time at which reading was last resumed
-        self._is_overrun = False  # reading had to stop, so that bytes or a close may wait at the client's machine
+        self._pace = ReadPace()
         self._is_scheduled = False  # the scheduler will call `process_input`
         self._is_executing = False  # a command is being executed
         self._incomplete_bytes = 0  # bytes of an incomplete command as reported to the owner
         self._body = BodyReceiver()
         self.handle = -1
-        self._is_reading = True  # whether the transport was last resumed, and not paused
         self.is_evicted = False  # the slot of this connection was given to another client
         self._has_sent_command = False
         self._has_sent_request = False  # commands without a request, such as PING, do not count
@@ -110,11 +105,9 @@
             should_read = self._discarded_bytes < MAX_DISCARDED_BYTES
         else:
             should_read = not self._is_closing and self._input.has_capacity()
-            self._is_overrun = self._is_overrun or not (should_read or self._is_closing)
-        if should_read != self._is_reading:
-            self._is_reading = should_read
+            self._pace.is_overrun = self._pace.is_overrun or not (should_read or self._is_closing)
+        if self._pace.set_reading(should_read, clock.now()):
             if should_read:
-                self._resumed_at = clock.now()
                 self.transport.resumeProducing()
             else:
                 self.transport.pauseProducing()
@@ -131,18 +124,17 @@
             self._command_started_at = now
         self._input.append(data, self._find_arrival(now))
         is_all_read = len(data) < self.max_read_bytes
-        if is_all_read and now - self._resumed_at > RESUME_SECONDS:
-            self._is_overrun = False
+        self._pace.on_read(now, is_all_read=is_all_read)
         if self._is_scheduled:
             self._input.update_memory()
             self._update_reading()
         else:
             self._execute_waiting()
         if self._body.slot is not None:
-            self._note_unread_body(now, is_all_read=is_all_read)
+            self._record_unread_body(now)
         else:
             has_memory = self._owner.read_ahead_memory.has_capacity()
-            self.set_max_read_bytes(OVERRUN_READ_BYTES if self._is_overrun and has_memory else COMMAND_READ_BYTES)
+            self.set_max_read_bytes(self._pace.choose_command_read_bytes(has_memory))
 
     def _find_arrival(self, now: float) -> float:
         # The first command of a connection may have arrived as early as the connection itself, if that was accepted a
@@ -161,7 +153,7 @@
             return True
         if not self.flushed or self._is_closing or (self._pending_bytes and not self._memory.has_capacity()):
             return False
-        return self._is_overrun or len(self._slots) < MAX_PIPELINED_COMMANDS
+        return self._pace.is_overrun or len(self._slots) < MAX_PIPELINED_COMMANDS
 
     def _schedule_input(self) -> None:
         if self._input.is_waiting and not self._is_scheduled and not self._is_executing and self._can_execute():
@@ -176,7 +168,7 @@
     def _execute_waiting(self) -> None:
         incomplete_before = self._incomplete_bytes
         self._is_executing = True
-        for _ in range(MAX_REJECTIONS_PER_TURN if self._is_overrun else MAX_COMMANDS_PER_TURN):
+        for _ in range(MAX_REJECTIONS_PER_TURN if self._pace.is_overrun else MAX_COMMANDS_PER_TURN):
             if not self._input.is_waiting or not self._can_execute():
                 break
             events = self._input.take_events()
@@ -240,12 +232,15 @@
             self._idle_since = self._last_activity_at
             body.finish()
 
-    def _note_unread_body(self, now: float, *, is_all_read: bool) -> None:
-        # Finds out whether the last byte of the incomplete body has arrived, though it is not read yet.
-        if is_all_read:
-            self._body.note_all_read(now)
-        elif not self._body.is_last_byte_known() and self._input.is_body_end_here(self.count_received_bytes()):
-            self._body.note_last_byte(self._owner.deadlines.earliest_arrival(now))
+    def _record_unread_body(self, now: float) -> None:
+        # Finds out whether the last byte of the incomplete body may have arrived, though it is not read yet.
+        unread_bytes = self.count_received_bytes()
+        if not unread_bytes:
+            self._body.record_all_read(now)
+            return
+        self._body.record_unread(now)
+        if self._input.is_body_end_here(unread_bytes):
+            self._body.record_last_byte(self._owner.deadlines.earliest_arrival(now))
 
     def _on_body_pause_changed(self) -> None:
         self._last_activity_at = clock.now()
@@ -299,7 +294,7 @@
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
             idle_timeout = 0.0  # a client that sent nothing for the grace period is disconnected; PING keeps it
-        if not self._is_reading and self.has_peer_closed():
+        if not self._pace.is_reading and self.has_peer_closed():
             self.transport.abortConnection()
         elif self._is_write_closed or not self.flushed:
             self._close_after_delivery(now)
@@ -353,7 +348,7 @@
         self._reply(rejection, can_merge=can_merge)
 
     def _submit_request(self, arguments: list[bytes], body: ValueStream | None = None) -> None:
-        if self._is_overrun:
+        if self._pace.is_overrun:
             self._reject_for_overrun(can_merge=body is None)
             return
         dispatcher = self._owner.dispatcher
--- a/thymeflow/frontend/command_input.py
+++ b/thymeflow/frontend/command_input.py
@@ -21,11 +21,11 @@
 
     __slots__ = (
         "_arrivals",
-        "_counted_bytes",
-        "_fresh",
         "_memory",
         "_parser",
         "_received_bytes",
+        "_reported_bytes",
+        "_unparsed",
         "fault",
         "is_waiting",
     )
@@ -33,8 +33,8 @@
     def __init__(self, memory: BufferMemory) -> None:
         self._parser = resp.Parser(resp.MAX_LONG_VALUE)
         self._memory = memory
-        self._counted_bytes = 0  # bytes that are counted in the shared memory
-        self._fresh = b""  # bytes that were read and are not passed to the parser yet
+        self._reported_bytes = 0  # bytes that are counted in the shared memory
+        self._unparsed = b""  # bytes that were read and are not passed to the parser yet
         self._received_bytes = 0
         self._arrivals: deque[tuple[int, float]] = deque()  # received bytes after each read, and its time of arrival
         self.is_waiting = False  # bytes wait that may hold complete commands
@@ -42,7 +42,7 @@
 
     def append(self, data: bytes, arrived_at: float) -> None:
         """Add bytes that have arrived at this machine by the time `arrived_at`."""
-        self._fresh = self._fresh + data if self._fresh else data
+        self._unparsed = self._unparsed + data if self._unparsed else data
         self._received_bytes += len(data)
         if self._arrivals and arrived_at - self._arrivals[-1][1] < ARRIVAL_RESOLUTION_SECONDS:
             arrived_at = self._arrivals.pop()[1]
@@ -51,8 +51,8 @@
 
     def take_events(self) -> list[resp.Event]:
         """Return the next event, or the two that end a long value; none if no complete one is there."""
-        events, self.fault = self._parser.feed(self._fresh, 1)
-        self._fresh = b""
+        events, self.fault = self._parser.feed(self._unparsed, 1)
+        self._unparsed = b""
         buffered_bytes = self._parser.buffered_bytes()
         if not events:  # what was received holds no last byte of a command
             self.is_waiting = False
@@ -75,17 +75,17 @@
 
     def count_bytes(self) -> int:
         """Return the number of bytes that wait or belong to an incomplete command."""
-        return self._parser.buffered_bytes() + len(self._fresh)
+        return self._parser.buffered_bytes() + len(self._unparsed)
 
     def update_memory(self) -> None:
         """Count the waiting bytes in the memory that all connections share."""
         waiting_bytes = self.count_bytes() if self.is_waiting else 0
-        self._memory.used_bytes += waiting_bytes - self._counted_bytes
-        self._counted_bytes = waiting_bytes
+        self._memory.used_bytes += waiting_bytes - self._reported_bytes
+        self._reported_bytes = waiting_bytes
 
     def is_incomplete(self) -> bool:
         """Return whether bytes wait or a command has begun and is incomplete."""
-        return bool(self._fresh) or self._parser.is_incomplete()
+        return bool(self._unparsed) or self._parser.is_incomplete()
 
     def get_incomplete_item(self) -> int:
         """Return the index of the incomplete item in the incomplete command, or -1."""
@@ -94,12 +94,12 @@
     def is_body_end_here(self, unread_bytes: int) -> bool:
         """Return whether the last byte of an incomplete long value is among what was received or waits unread."""
         missing_bytes = self._parser.missing_value_bytes()
-        return 0 < missing_bytes <= len(self._fresh) + unread_bytes
+        return 0 < missing_bytes <= len(self._unparsed) + unread_bytes
 
     def clear(self) -> None:
         """Discard everything."""
         self._parser = resp.Parser(resp.MAX_LONG_VALUE)
-        self._fresh = b""
+        self._unparsed = b""
         self._arrivals.clear()
         self._received_bytes = 0
         self.is_waiting = False
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -147,8 +147,8 @@
         """Set the bounds for connections and bytes that arrive from now on."""
         self._max_clients = limits.max_clients
         self.response_memory.set_max_bytes(limits.response_bytes)
-        self.body_memory.max_bytes = limits.body_bytes
-        self.read_ahead_memory.max_bytes = limits.read_ahead_bytes
+        self.body_memory.set_max_bytes(limits.body_bytes)
+        self.read_ahead_memory.set_max_bytes(limits.read_ahead_bytes)
         self._max_unfinished_input_bytes = limits.unfinished_input_bytes
         self.clients.set_limit(limits.max_clients)
 
--- a/thymeflow/transport/value_stream.py
+++ b/thymeflow/transport/value_stream.py
@@ -62,6 +62,10 @@
         self.used_bytes = 0
         self.max_bytes = max_bytes
 
+    def set_max_bytes(self, max_bytes: int) -> None:
+        """Set the bound that applies to bytes buffered from now on."""
+        self.max_bytes = max_bytes
+
     def has_capacity(self) -> bool:
         """Return whether a stream may buffer more bytes."""
         return self.used_bytes < self.max_bytes
