Read all that waits behind waiting commands at once, so that a close is found

Cause: 2.4 MB were read 16 KB a turn, and each turn executed commands first; above 1 MiB each command was parsed and rejected before the next ones were read. Under load that took longer than a backend's 0.3 s. Change: behind commands that wait, the socket is read until it is empty, up to 4 MiB (1 MiB before) and the memory for all; the reactor finds the end of the connection a turn later. The fake socket's recv removes what it returns unless it peeks.

--- a/tests/network_support.py
+++ b/tests/network_support.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 from collections.abc import Callable
 from typing import Any
 
@@ -46,10 +47,13 @@
         return min(self.max_bytes, len(data))
 
     def recv(self, max_bytes: int, flags: int) -> bytes:
-        """Return the unread bytes without removing them; raise BlockingIOError if there are none."""
+        """Return the unread bytes, removed unless it is a peek; raise BlockingIOError if there are none."""
         if not self.unread:
             raise BlockingIOError
-        return self.unread[:max_bytes]
+        data = self.unread[:max_bytes]
+        if not flags & socket.MSG_PEEK:
+            self.unread = self.unread[max_bytes:]
+        return data
 
     def shutdown(self, how: int) -> None:
         """Record that the connection is half closed."""
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -28,7 +28,7 @@
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport import resp
 from thymeflow.transport.commands import QUERY, SUBMIT, CallError, CallReader
-from thymeflow.transport.connections import has_unread_bytes
+from thymeflow.transport.connections import DEFAULT_READ_BYTES, has_unread_bytes
 from thymeflow.transport.value_stream import BufferMemory, ValueStream
 
 BODY_INDEX = 4  # the index of a command's body, which may arrive slowly; the items before it are the command's head
@@ -126,7 +126,7 @@
         is_all_read = len(data) < self.max_read_bytes
         self._pace.on_read(now, is_all_read=is_all_read)
         if self._is_scheduled:
-            self._input.update_memory()
+            self._read_ahead()
             self._update_reading()
         else:
             self._execute_waiting()
@@ -136,6 +136,22 @@
             has_memory = self._owner.read_ahead_memory.has_capacity()
             self.set_max_read_bytes(self._pace.choose_command_read_bytes(has_memory))
 
+    def _read_ahead(self) -> None:
+        # Reads all that waits unread behind commands that wait, so that a close behind it is found at once. The reactor
+        # reads the end of the connection.
+        self._input.update_memory()
+        if self._body.slot is not None:
+            return
+        while self._input.is_waiting and self._input.has_capacity():
+            try:
+                data = self.transport.getHandle().recv(DEFAULT_READ_BYTES, 0)
+            except OSError:
+                return
+            if not data:
+                return
+            self._input.append(data, self._find_arrival(clock.now()))
+            self._input.update_memory()
+
     def _find_arrival(self, now: float) -> float:
         # The first command of a connection may have arrived as early as the connection itself, if that was accepted a
         # moment ago. Its time then includes a stall of this process since the connection arrived. The time of a command
@@ -180,7 +196,7 @@
             self._on_malformed_input(self._input.fault)
         elif self._is_closing and self._body.slot is None:
             self._input.clear()
-        self._input.update_memory()
+        self._read_ahead()
         self._incomplete_bytes = 0 if self._input.is_waiting else self._input.count_bytes()
         self._owner.on_input_buffered(self._incomplete_bytes - incomplete_before)
         self._flush()
--- a/thymeflow/frontend/command_input.py
+++ b/thymeflow/frontend/command_input.py
@@ -12,7 +12,7 @@
 from thymeflow.transport.value_stream import BufferMemory
 
 # Bytes of waiting commands up to which a connection is read, while the memory that all connections share permits it.
-MAX_READ_AHEAD_BYTES = 1024 * 1024
+MAX_READ_AHEAD_BYTES = 4 * 1024 * 1024
 ARRIVAL_RESOLUTION_SECONDS = 0.01  # reads that follow each other more quickly count as one
 
 
