--- a/tests/run_line/test_input_floods.py
+++ b/tests/run_line/test_input_floods.py
@@ -27,6 +27,8 @@
 CROWD_SECONDS = 4.0
 WAIT_MS = 500
 LATE_RESPONSE_SECONDS = 0.5  # after its time; a response that comes later counts as lost
+HANG_SECONDS = 1.0  # until a backend closes the connection of a request that it does not answer
+SETTLE_SECONDS = 0.3  # without a new attempt, after which all first attempts have come
 GONE_SECONDS = 0.1  # after a client's close, from which on no attempt of its requests may begin
 REPLY = b"*3\r\n$5\r\nvalue\r\n$-1\r\n$-1\r\n"
 
@@ -169,12 +171,13 @@
 def test_nothing_is_retried_when_a_client_has_left_with_many_commands_unread(
     limiter: Limiter, command_count: int
 ) -> None:
-    backends = EchoBackends(limiter, close_after=0.3)
+    backends = EchoBackends(limiter, close_after=HANG_SECONDS)
     client = limiter.connect()
     client.send(b"".join(request(number) for number in range(command_count)))
-    while not backends.received_at:
+    # The first attempts cross the close of a client that leaves at once; they are awaited here.
+    while not backends.received_at or time.monotonic() - backends.received_at[-1] < SETTLE_SECONDS:
         time.sleep(0.01)
     client.close()
     closed_at = time.monotonic()
-    time.sleep(1.0)
+    time.sleep(2.0 * HANG_SECONDS)
     assert not [moment - closed_at for moment in backends.received_at if moment - closed_at > GONE_SECONDS]
