--- a/thymeflow/handover/shared_executed_requests.py
+++ b/thymeflow/handover/shared_executed_requests.py
@@ -39,6 +39,8 @@
         try:
             if os.fstat(descriptor).st_size != FILE_BYTES:
                 os.ftruncate(descriptor, FILE_BYTES)
+            # A store to a page that a full file system cannot provide would end the process by a signal.
+            os.posix_fallocate(descriptor, 0, FILE_BYTES)
             self._table = mmap.mmap(descriptor, FILE_BYTES)
         finally:
             os.close(descriptor)
