Ask the receive queue whether all that a client sent is read, also for commands

Change: the queue is asked, only while commands are rejected. Measured: the new test failed before (the command was forwarded) and passes.

--- a/tests/frontend/test_connections.py
+++ b/tests/frontend/test_connections.py
@@ -201,3 +201,16 @@
     client.resumeProducing()
     network.reactor.advance(0.0)
     assert b",d=2000," in network.complete_dial(-1).transport.value()
+
+
+def test_commands_are_rejected_until_all_is_read_when_a_client_has_sent_too_many(network: InMemoryNetwork) -> None:
+    # Guards against taking a short read for the last one while a close may wait behind unread bytes.
+    limiter, client = make_limiter_with_client(network)
+    client._pace.is_overrun = True
+    client.transport.handle.unread = b"x"
+    client.dataReceived(request(1))
+    assert client.transport.value().startswith(b"-BUSY")
+    assert not limiter.dispatcher.open_count()
+    client.transport.handle.unread = b""
+    client.dataReceived(request(2))
+    assert limiter.dispatcher.open_count() == 1
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -123,8 +123,8 @@
         if not self._input.is_incomplete():
             self._command_started_at = now
         self._input.append(data, self._find_arrival(now))
-        is_all_read = len(data) < self.max_read_bytes
-        self._pace.on_read(now, is_all_read=is_all_read)
+        if self._pace.is_overrun:
+            self._pace.on_read(now, is_all_read=not self.count_received_bytes())
         if self._is_scheduled:
             self._read_ahead()
             self._update_reading()
