Log no late response for a long body that waited behind its client's other responses

Change: as for short commands, the lateness counts from the moment of execution; deadlines are as before.

--- a/thymeflow/core/executed_requests.py
+++ b/thymeflow/core/executed_requests.py
@@ -6,7 +6,7 @@
 
 from thymeflow.runtime import clock
 
-REMEMBERED_SECONDS = 60.0  # longer than any client waits and any idempotency window
+REMEMBERED_SECONDS = 60.0  # longer than clients wait and than idempotency windows last, on the sites known
 MAX_REMEMBERED = 16384
 
 
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -242,8 +242,8 @@
             self.set_max_read_bytes(COMMAND_READ_BYTES)
             if slot.request is not None and slot.response is None:
                 last_byte_at = self._body.find_earliest_end(self._input.get_arrival())
-                slot.deadline = min(last_byte_at + slot.request.remaining, self._owner.exit_deadline)
-                body.deadline = slot.deadline
+                body.deadline = min(last_byte_at + slot.request.remaining, self._owner.exit_deadline)
+                slot.deadline = max(body.deadline, clock.now())
                 self._owner.dispatcher.on_body_received(slot.request.id, body.deadline)
             self._idle_since = self._last_activity_at
             body.finish()
