--- a/review/10/case.py
+++ b/review/10/case.py
@@ -43,7 +43,7 @@
     await client.receive(long_id, WATCHED_SECONDS)
     answer = await client.receive(other_id, WATCHED_SECONDS)
     client.close()
-    if answer.kind in ("none", "late"):
+    if answer.is_missing:
         return [f"lost: {other_id} was not answered, because the answer before it broke off"]
     return []
 
--- a/review/7/case.py
+++ b/review/7/case.py
@@ -46,7 +46,7 @@
             asked_at = time.monotonic()
             answer = await client.receive(request_id, WATCHED_SECONDS)
             seconds = time.monotonic() - asked_at
-            if answer.kind in ("none", "late") or seconds > LOST_SECONDS:
+            if answer.is_missing or seconds > LOST_SECONDS:
                 breaks.append(
                     f"lost: {request_id} of {client.name}: {answer} {seconds:.1f} s after the answer before it"
                 )
--- a/review/8/case.py
+++ b/review/8/case.py
@@ -59,7 +59,7 @@
     seconds = asyncio.get_running_loop().time() - sent_at
     await asyncio.gather(*others)
     client.close()
-    if answer.kind in ("none", "late"):
+    if answer.is_missing:
         return [f"lost: {request_id} got no answer in {seconds:.1f} s, and its client waits for {WAIT_MS} ms"]
     if seconds > WAIT_MS / 1000.0 + GRACE_SECONDS:
         return [f"lost: {request_id} was answered after {seconds:.1f} s"]
--- a/review/9/case.py
+++ b/review/9/case.py
@@ -43,7 +43,8 @@
     for request_id, sent_at in sent:
         answer = await client.receive(request_id, WATCHED_SECONDS)
         seconds = loop.time() - sent_at
-        if answer.kind in ("none", "late") and seconds > CROSSING_SECONDS:
+        # A close over unread bytes resets the connection: after one that does not, the request has been read.
+        if answer.kind in ("ended", "late") and seconds > CROSSING_SECONDS:
             breaks.append(
                 f"lost: {request_id} was not answered; its connection ended {seconds:.2f} s after it was sent"
             )
--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -419,9 +419,15 @@
     """The answer to one request: a kind, and the value of a served one."""
 
     def __init__(self, kind: str, value: bytes = b"") -> None:
-        self.kind = kind  # served, refused, failed, none (no answer, the connection ended) or late (no answer in time)
+        # served, refused, failed, late (no answer in time), or no answer: ended (the connection was closed) or reset
+        self.kind = kind
         self.value = value
 
+    @property
+    def is_missing(self) -> bool:
+        """Whether there is no answer."""
+        return self.kind in ("late", "ended", "reset")
+
     def __str__(self) -> str:
         shown = f" {self.value[:40].decode('ascii', 'replace')!r} ({len(self.value)} bytes)" if self.value else ""
         return self.kind + shown
@@ -450,9 +456,9 @@
         try:
             reply = await asyncio.wait_for(read_reply(self.reader), seconds)
         except asyncio.IncompleteReadError as end:
-            answer = Answer("none", bytes(end.partial))
+            answer = Answer("ended", bytes(end.partial))
         except ConnectionError:
-            answer = Answer("none")
+            answer = Answer("reset")
         except TimeoutError:
             answer = Answer("late")
         else:
