--- a/review/standins-2/standins.py
+++ b/review/standins-2/standins.py
@@ -551,9 +551,10 @@
     record = Record(Path(script).resolve().parent / "record.txt")
     record.write("case", f"TROUBLE is {'on' if TROUBLE else 'off'}")
     folder = Path(tempfile.mkdtemp(prefix="case-"))
+    signal.signal(signal.SIGTERM, signal.default_int_handler)  # a script that is ended ends what it has started
     try:
         breaks = asyncio.run(_play(case, folder, record))
-    except Exception as error:
+    except (Exception, KeyboardInterrupt) as error:
         record.write("case", f"cannot run: {error!r}")
         traceback.print_exc()
         sys.exit(CANNOT_RUN)
