--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -8,6 +8,8 @@
 
 from typing import Any
 
+import pytest
+
 from tests.limiter import request
 from tests.network_support import InMemoryNetwork, make_limiter_with_client, make_served_reply, network
 from thymeflow.frontend.pipeline import MAX_BUFFERING_FRACTION, MAX_BUFFERING_SECONDS
@@ -140,3 +142,143 @@
     network.reactor.pump([0.5] * 30)
     backend.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
     assert client.transport.value() == resp.bulk(VALUE)
+
+
+def break_off_after(network: InMemoryNetwork, seconds: float, backend: Any) -> None:
+    """Let a backend send a part of a long response now, and let it reset its connection later."""
+    backend.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    network.reactor.pump([0.05] * int(seconds / 0.05))
+    backend.connectionLost()
+
+
+@pytest.mark.parametrize(("wait_ms", "seconds"), [(500, 0.4), (2000, 0.8), (2000, 1.7), (7500, 1.7)])
+def test_next_command_is_answered_when_a_long_response_breaks_off_within_the_allowed_time(
+    network: InMemoryNetwork, wait_ms: int, seconds: float
+) -> None:
+    # Guards against a long response that begins early, breaks off, and takes the response behind it along.
+    limiter, client = make_limiter_with_client(network)
+    client.dataReceived(request(1, wait=wait_ms) + request(2, wait=wait_ms))
+    first, second = [network.complete_dial(number) for number in (-2, -1)]
+    second.dataReceived(SERVED)
+    break_off_after(network, seconds, first)
+    assert client.transport.value() == FAILED_RESPONSE + SERVED_RESPONSE
+    assert limiter.frontend.response_memory.reserved_bytes == 0
+
+
+def test_wait_for_an_earlier_response_does_not_shorten_the_time_for_buffering(network: InMemoryNetwork) -> None:
+    # Guards against a long response that begins early because an earlier response took most of its client's time.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1) + request(2, wait=2000) + request(3))
+    first, second, third = [network.complete_dial(number) for number in range(-3, 0)]
+    third.dataReceived(SERVED)
+    second.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    network.reactor.pump([0.1] * 19)
+    first.dataReceived(SERVED)
+    network.reactor.pump([0.1] * 16)
+    second.connectionLost()
+    assert client.transport.value() == SERVED_RESPONSE + FAILED_RESPONSE + SERVED_RESPONSE
+
+
+def test_next_command_is_answered_when_it_was_unread_as_the_long_response_arrived(network: InMemoryNetwork) -> None:
+    # Guards against a long response that begins at once because the command behind it is not executed yet.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1) + request(2)[:20])
+    break_off_after(network, 0.8, network.complete_dial(-1))
+    assert client.transport.value() == FAILED_RESPONSE
+    client.dataReceived(request(2)[20:])
+    network.complete_dial(-1).dataReceived(SERVED)
+    assert client.transport.value() == FAILED_RESPONSE + SERVED_RESPONSE
+
+
+def test_next_command_is_answered_when_memory_to_buffer_the_long_response_was_short_at_first(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against a long response that begins at once because others hold the memory that it needs for a moment.
+    limiter, other_client = make_limiter_with_client(network)
+    limiter.frontend.response_memory.set_max_bytes(3 * len(VALUE))  # half of it holds one value
+    _, other, _ = forward_three_requests(network, other_client)
+    other.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    client = network.connect_protocol(limiter.frontend.buildProtocol(None))
+    client.dataReceived(request(4) + request(5))
+    fourth, fifth = [network.complete_dial(number) for number in (-2, -1)]
+    fourth.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    fifth.dataReceived(SERVED)
+    network.reactor.pump([0.1] * 5)
+    assert client.transport.value() == b""
+    other_client.connectionLost()
+    network.reactor.pump([0.1] * 2)
+    assert limiter.frontend.response_memory.reserved_bytes == len(VALUE)
+    fourth.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    assert client.transport.value() == resp.bulk(VALUE) + SERVED_RESPONSE
+
+
+def test_next_command_is_answered_when_the_response_before_it_breaks_off_while_memory_is_short(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against a break that is not noticed because the backend is not read from for want of memory.
+    limiter, other_client = make_limiter_with_client(network)
+    limiter.frontend.response_memory.set_max_bytes(3 * len(VALUE))
+    _, other, _ = forward_three_requests(network, other_client)
+    other.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    client = network.connect_protocol(limiter.frontend.buildProtocol(None))
+    client.dataReceived(request(4) + request(5))
+    fourth, fifth = [network.complete_dial(number) for number in (-2, -1)]
+    fourth.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    fifth.dataReceived(SERVED)
+    fourth.transport.handle.is_peer_closed = True
+    network.reactor.pump([0.1] * 2)
+    assert client.transport.value() == FAILED_RESPONSE + SERVED_RESPONSE
+
+
+def begin_long_response(network: InMemoryNetwork) -> tuple[Any, Any]:
+    """Return a client's connection on which a long response has begun, and the connection of its backend."""
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1))
+    backend = network.complete_dial(-1)
+    backend.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    assert client.transport.value().startswith(resp.bulk_head(len(VALUE)) + b"v")
+    return client, backend
+
+
+def test_commands_stay_unread_until_a_long_response_that_has_begun_is_complete(network: InMemoryNetwork) -> None:
+    # Guards against reading a command whose response would be lost if the response before it broke off.
+    client, backend = begin_long_response(network)
+    assert client.transport.producerState == "paused"
+    client.transport.handle.unread = request(2)
+    network.reactor.pump([0.1] * 30)
+    assert client.transport.handle.unread == request(2)
+    backend.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    assert client.transport.producerState == "producing"
+    client.dataReceived(request(2))
+    backend.dataReceived(SERVED)  # its connection was idle
+    assert client.transport.value() == resp.bulk(VALUE) + SERVED_RESPONSE
+
+
+def test_connection_is_reset_when_a_long_response_breaks_off_before_unread_commands(network: InMemoryNetwork) -> None:
+    # Guards against an orderly close, after which the client can't tell that its next command was not read.
+    client, backend = begin_long_response(network)
+    client.transport.handle.unread = request(2)
+    client.transport.handle.unacknowledged_bytes = 10
+    backend.connectionLost()
+    network.reactor.pump([0.1] * 5)
+    assert not client.aborted  # bytes of responses are still on their way
+    client.transport.handle.unacknowledged_bytes = 0
+    network.reactor.pump([0.1] * 2)
+    assert client.aborted
+    assert not client.transport.handle.is_half_closed
+    assert client.transport.handle.unread == request(2)
+
+
+def test_half_read_command_is_completed_when_reading_was_paused_for_a_long_time(network: InMemoryNetwork) -> None:
+    # Guards against a time-out for a command that could not arrive because its client was not read from.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1) + request(2)[:20])
+    backend = network.complete_dial(-1)
+    backend.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    network.reactor.pump([0.1] * 60)  # the response has begun meanwhile
+    assert client.transport.producerState == "paused"
+    backend.dataReceived(LONG_REPLY[RECEIVED_BYTES:])
+    network.reactor.pump([0.1] * 2)
+    client.dataReceived(request(2)[20:])
+    backend.dataReceived(SERVED)
+    assert client.transport.value() == resp.bulk(VALUE) + SERVED_RESPONSE
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -72,7 +72,7 @@
     """One client's connection, which reads commands and enforces timeouts."""
 
     def __init__(self, owner: ClientConnectionOwner, memory: ResponseMemory) -> None:
-        super().__init__(memory)
+        super().__init__(memory, owner.deadlines)
         self._owner = owner
         self._input = CommandInput(owner.read_ahead_memory)
         self._command_started_at = 0.0  # time at which the incomplete command began
@@ -102,17 +102,23 @@
         if self._body.slot is not None:  # the body is read even if no further command is accepted
             should_read = not self._body.is_blocked
         elif self._is_write_closed:
-            should_read = self._discarded_bytes < MAX_DISCARDED_BYTES
+            should_read = self._discarded_bytes < MAX_DISCARDED_BYTES and not self._is_reset_due
         else:
-            should_read = not self._is_closing and self._input.has_capacity()
-            self._pace.is_overrun = self._pace.is_overrun or not (should_read or self._is_closing)
-        if self._pace.set_reading(should_read, clock.now()):
+            has_capacity = self._input.has_capacity()
+            should_read = not self._is_closing and has_capacity and not self._can_break_off()
+            self._pace.is_overrun = self._pace.is_overrun or not (has_capacity or self._is_closing)
+        now = clock.now()
+        if self._pace.set_reading(should_read, now):
             if should_read:
+                self._command_started_at = now  # the time in which the client was not read from does not count
                 self.transport.resumeProducing()
             else:
                 self.transport.pauseProducing()
         self._schedule_input()
 
+    def _has_input(self) -> bool:
+        return not self._is_closing and (self._input.is_incomplete() or self.count_received_bytes() > 0)
+
     def dataReceived(self, data: bytes) -> None:
         """Execute each command once it is complete; responses are sent in the order of the commands."""
         if self._is_closing and self._body.slot is None:
@@ -140,7 +146,7 @@
         # Reads all that waits unread behind commands that wait, so that a close behind it is found at once. The reactor
         # reads the end of the connection.
         self._input.update_memory()
-        if self._body.slot is not None:
+        if self._body.slot is not None or self._can_break_off():
             return
         while self._input.is_waiting and self._input.has_capacity():
             try:
@@ -164,9 +170,12 @@
 
     def _can_execute(self) -> bool:
         # A client that does not read its responses, or has too many open commands, waits. One that has sent more than
-        # may wait is rejected instead: its close could not be found before all that it has sent is read.
+        # may wait is rejected instead: its close could not be found before all that it has sent is read. No command is
+        # taken behind a response that may still break off, because the close of the connection would lose it.
         if self._body.slot is not None:
             return True
+        if self._can_break_off():
+            return False
         if not self.flushed or self._is_closing or (self._pending_bytes and not self._memory.has_capacity()):
             return False
         return self._pace.is_overrun or len(self._slots) < MAX_PIPELINED_COMMANDS
@@ -304,8 +313,10 @@
 
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
-        if self._slots and self._slots[0].is_buffering_over(now):
+        if self._slots and self._slots[0].is_awaiting_memory():
             self._flush()
+        if not self._pace.is_reading:
+            self._update_reading()
         self._check_body(now)
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
@@ -317,7 +328,7 @@
         elif self._body.slot is not None:
             if not self._body.is_blocked and now - self._last_activity_at > timeouts.COMMAND_TIMEOUT:
                 self._on_malformed_input("a value was begun and not ended")
-        elif self._is_closing or self._input.is_waiting:
+        elif self._is_closing or self._input.is_waiting or not self._pace.is_reading:
             return
         elif self._input.is_incomplete():
             is_head = (
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -16,11 +16,12 @@
 from thymeflow.transport.connections import WriteTrackingConnection
 from thymeflow.transport.value_stream import ValueStream
 
-# A long response that shares its connection with other commands is received completely before its first byte is
-# written, because one that breaks off later takes the responses behind it along. Its first byte is delayed by no more
-# than this number of seconds, and no more than this fraction of the time for which the client still waits.
-MAX_BUFFERING_SECONDS = 1.0
-MAX_BUFFERING_FRACTION = 0.25
+# A long response with commands behind it is received completely before its first byte is written, because one that
+# breaks off later takes the responses behind it along. It is held back for no more than this number of seconds, and no
+# more than this fraction of the time that the client still waited when the response began to arrive. The time in which
+# it waits for earlier responses does not count.
+MAX_BUFFERING_SECONDS = 1.8  # the protocol allows 2 s
+MAX_BUFFERING_FRACTION = 0.9
 
 
 class ResponsePipeline(WriteTrackingConnection):
@@ -29,8 +30,9 @@
     The pipeline is the `value_stream.Sink` of the streamed response that is being written.
     """
 
-    def __init__(self, memory: ResponseMemory) -> None:
+    def __init__(self, memory: ResponseMemory, deadlines: clock.Deadlines) -> None:
         self._memory = memory
+        self._deadlines = deadlines
         self._slots: deque[PipelineSlot] = deque()
         self._last_activity_at = 0.0  # time at which bytes were last received, written or taken by the client's machine
         self._idle_since = 0.0  # time of the last command or last response
@@ -38,11 +40,16 @@
         self._pending_bytes = 0  # bytes of responses that wait for earlier responses or for the client to read
         self._is_closing = False  # the connection is closed once every command is answered
         self._is_write_closed = False  # all responses are written and the write side is closed; input is discarded
+        self._is_reset_due = False  # commands stay unread, so that the connection is reset once all is delivered
 
     def _update_reading(self) -> None:
         """Read from the client or pause reading, depending on the capacity of the pipeline."""
         raise NotImplementedError
 
+    def _has_input(self) -> bool:
+        """Return whether the client has sent bytes that are not executed yet, read or unread."""
+        raise NotImplementedError
+
     def resumeProducing(self) -> None:
         """Continue to write, because all written bytes have gone to the kernel."""
         super().resumeProducing()
@@ -71,25 +78,51 @@
     def _store_response(self, slot: PipelineSlot, response: Response) -> None:
         slot.response = encode_response(response)
         slot.response_stream = response.stream
+        slot.response_received_at = clock.now()
         self._add_pending(len(slot.response))
-        if response.stream is not None and len(self._slots) > 1 and self._memory.reserve(response.stream.length):
-            slot.reserved_bytes = response.stream.length
-            response.stream.prefetch(self._flush)
+        if response.stream is not None and len(self._slots) > 1:
+            self._try_buffering(slot, response.stream)
 
-    def _release_memory(self, slot: PipelineSlot) -> None:
+    def _try_buffering(self, slot: PipelineSlot, stream: ValueStream) -> None:
+        # Buffers a streamed response completely if there is memory for it.
+        if not slot.reserved_bytes and self._memory.reserve(stream.length):
+            slot.reserved_bytes = stream.length
+            stream.prefetch(self._flush)
+
+    def _end_buffering(self, slot: PipelineSlot) -> None:
+        self._deadlines.cancel(slot.buffering_timer)
         self._memory.release(slot.reserved_bytes)
         slot.reserved_bytes = 0
 
-    def _is_buffering(self, slot: PipelineSlot) -> bool:
-        # Returns whether the streamed response, whose turn has come, waits for its last byte. It begins at once if no
-        # command is behind it, or if no memory was left to buffer it.
+    def _has_commands_behind(self) -> bool:
+        # Returns whether the client has sent commands behind the first open one.
+        return len(self._slots) > 1 or self._has_input()
+
+    def _is_held_back(self, slot: PipelineSlot) -> bool:
+        # Returns whether the streamed response, whose turn has come, waits for its last byte or for memory to be
+        # buffered in. It begins at once if no command is behind it, or if it can't be buffered however long it waits.
         stream = slot.response_stream
-        if stream is None or not slot.reserved_bytes or len(self._slots) == 1 or stream.has_arrived():
+        if stream is None or stream.has_arrived() or not self._has_commands_behind():
+            return False
+        if not self._memory.can_ever_reserve(stream.length):
             return False
         now = clock.now()
         if slot.buffering_deadline == inf:
-            slot.buffering_deadline = now + min(MAX_BUFFERING_SECONDS, MAX_BUFFERING_FRACTION * (slot.deadline - now))
-        return now < slot.buffering_deadline
+            seconds_left = slot.deadline - slot.response_received_at
+            slot.buffering_deadline = now + min(MAX_BUFFERING_SECONDS, MAX_BUFFERING_FRACTION * seconds_left)
+            slot.buffering_timer = self._deadlines.schedule(
+                slot.buffering_deadline, lambda _: self._on_buffering_over(slot)
+            )
+        self._try_buffering(slot, stream)
+        return now < slot.buffering_deadline and not stream.has_arrived()
+
+    def _on_buffering_over(self, slot: PipelineSlot) -> None:
+        if self._slots and self._slots[0] is slot:
+            self._flush()
+
+    def _can_break_off(self) -> bool:
+        # Returns whether a response is on its way whose end would close the connection if its backend was lost.
+        return bool(self._slots) and self._slots[0].can_break_off()
 
     def _flush(self) -> None:
         ready: list[bytes | bytearray] = []
@@ -97,7 +130,7 @@
         while self._slots and (slot := self._slots[0]).is_ready():
             if slot.response_stream is not None and not slot.response_stream.can_complete():
                 self._fail_lost_response(slot, slot.response_stream)
-            if self._is_buffering(slot):
+            if self._is_held_back(slot):
                 break
             ready.append(slot.response or b"")
             if slot.response_stream is not None:
@@ -115,6 +148,8 @@
                 self._idle_since = self._last_activity_at
         if stream is not None:
             stream.attach(self)  # may write the whole value and call this method again through `end`
+            if self._can_break_off():
+                self._update_reading()
         elif self._is_closing and not self._slots and not self._is_write_closed:
             self._close_write_side()
         else:
@@ -131,7 +166,7 @@
         self._add_pending(len(failure) - len(slot.response or b""))
         slot.response = failure
         slot.response_stream = None
-        self._release_memory(slot)
+        self._end_buffering(slot)
 
     # The methods of `value_stream.Sink`, for the streamed response that is being written.
 
@@ -143,7 +178,7 @@
     def end(self) -> None:
         """Terminate the complete value, and continue with the next response."""
         self.write(b"\r\n")
-        self._release_memory(self._slots.popleft())
+        self._end_buffering(self._slots.popleft())
         self._idle_since = clock.now()
         self._flush()
 
@@ -162,6 +197,8 @@
         )
         self._is_closing = True
         self._cancel_slots()
+        # A reset shows the client that its next commands were not read, so that it can send them again.
+        self._is_reset_due = self.count_received_bytes() > 0
         self._close_write_side()
 
     def _close_write_side(self) -> None:
@@ -171,8 +208,9 @@
         if self.flushed and not self._is_write_closed:
             self._is_write_closed = True
             self._idle_since = clock.now()
-            with contextlib.suppress(OSError):
-                self.transport.getHandle().shutdown(socket.SHUT_WR)
+            if not self._is_reset_due:
+                with contextlib.suppress(OSError):
+                    self.transport.getHandle().shutdown(socket.SHUT_WR)
             self._update_reading()
 
     def has_undelivered_bytes(self) -> bool:
@@ -202,6 +240,8 @@
                     f"{timeouts.WRITE_STALL_TIMEOUT:g} s",
                 )
                 self.transport.abortConnection()
+        elif self._is_reset_due:
+            self.transport.abortConnection()
         elif now - max(self._last_activity_at, self._idle_since) > timeouts.LINGER_TIMEOUT:
             # Not aborted, because a reset can discard bytes that have arrived and that the client has not read.
             self.transport.unregisterProducer()
@@ -220,7 +260,7 @@
         self._slots = deque()
         self._add_pending(-self._pending_bytes)
         for slot in slots:
-            self._release_memory(slot)
+            self._end_buffering(slot)
             if slot.request_body is not None:
                 slot.request_body.cancel()
             if slot.response_deferred is not None and slot.response is None:
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -8,6 +8,7 @@
 
 from thymeflow.core.types import Response, ResponseKind
 from thymeflow.decision.events import RequestReceived
+from thymeflow.runtime import clock
 from thymeflow.transport import resp
 from thymeflow.transport.value_stream import ValueStream
 
@@ -18,6 +19,7 @@
     __slots__ = (
         "body",
         "buffering_deadline",
+        "buffering_timer",
         "deadline",
         "is_started",
         "request",
@@ -25,6 +27,7 @@
         "reserved_bytes",
         "response",
         "response_deferred",
+        "response_received_at",
         "response_stream",
     )
 
@@ -39,11 +42,13 @@
         self.response_deferred: Deferred[Response] | None = None
         self.body = body  # an incomplete streamed request body, whose end the response waits for
         self.request_body = body  # the same body also after it has arrived, while a backend has not taken all of it
+        self.response_received_at = 0.0  # time at which the response, or the head of a streamed one, was known
         self.response_stream: ValueStream | None = None  # a streamed response, whose head is `response`
         self.is_started = False  # the head of a streamed response has been written
         self.deadline = inf  # time until which the client waits; inf while the body of its request is incomplete
         self.reserved_bytes = 0  # bytes of memory that are reserved for a streamed response
         self.buffering_deadline = inf  # time at which a streamed response begins though it has not arrived completely
+        self.buffering_timer = clock.NOT_SCHEDULED  # the call at that time
 
     def try_append(self, reply: bytes) -> bool:
         """Append the reply to the next command, if this slot holds replies to commands without a request."""
@@ -62,9 +67,13 @@
         """Return the id of the request, for log lines; empty for a command without a request."""
         return "" if self.request is None else self.request.id
 
-    def is_buffering_over(self, now: float) -> bool:
-        """Return whether a streamed response was buffered, and has to begin now though it is incomplete."""
-        return now >= self.buffering_deadline and not self.is_started
+    def is_awaiting_memory(self) -> bool:
+        """Return whether a streamed response, whose turn has come, waits for memory to be buffered in."""
+        return self.buffering_deadline < inf and not self.is_started and not self.reserved_bytes
+
+    def can_break_off(self) -> bool:
+        """Return whether a streamed response has begun, and its backend has not sent all of it."""
+        return self.is_started and self.response_stream is not None and not self.response_stream.has_arrived()
 
 
 def encode_response(response: Response) -> bytes:
--- a/thymeflow/frontend/response_memory.py
+++ b/thymeflow/frontend/response_memory.py
@@ -31,6 +31,10 @@
         self.reserved_bytes += size
         return True
 
+    def can_ever_reserve(self, size: int) -> bool:
+        """Return whether `size` bytes could be reserved if nothing else was counted."""
+        return size <= self.max_bytes // 2
+
     def release(self, size: int) -> None:
         """Release reserved bytes."""
         self.reserved_bytes -= size
