Serve the connections behind a lost one in the queue of waiting commands

Cause: a lost connection stayed in the scheduler's queue. At its turn it shut the write side of a transport without a socket; the AttributeError left the turn before the scheduler armed itself, and all connections behind stayed queued and marked as scheduled. Change: a lost connection executes and writes nothing; an evicted one executes nothing.

--- a/tests/logs/test_log_kinds.py
+++ b/tests/logs/test_log_kinds.py
@@ -18,6 +18,7 @@
     "thymeflow",
     "gateway fault on EVENT",
     "attempt fault",
+    "client connection fault",
     "Unhandled Error",
     "Unhandled error in Deferred",
 }
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+import logging
 from math import inf
 from typing import Protocol
 
@@ -188,7 +189,13 @@
     def process_input(self) -> None:
         """Execute some of the commands that wait; called by the scheduler."""
         self._is_scheduled = False
-        self._execute_waiting()
+        if not self._is_lost:
+            self._execute_waiting()
+
+    def on_fault(self, error: Exception) -> None:
+        """Close the connection after an unexpected error, which must not keep other connections from being served."""
+        logging.getLogger("thymeflow").error("client connection fault", exc_info=error)
+        self.transport.abortConnection()
 
     def _execute_waiting(self) -> None:
         incomplete_before = self._incomplete_bytes
@@ -352,6 +359,7 @@
     def evict(self) -> None:
         """Close the connection now, because its slot is given to another client."""
         self.is_evicted = True
+        self._is_closing = True  # commands that wait are not executed in the turn before the end of the connection
         self.transport.abortConnection()
 
     def _on_command(self, arguments: list[bytes]) -> None:
@@ -435,6 +443,7 @@
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: ARG002  # Twisted passes it
         """Cancel all open requests, because no response can reach the client any more."""
         self._is_closing = True
+        self._is_lost = True
         self._body.fail()
         self._input.clear()
         self._owner.on_input_buffered(-self._incomplete_bytes)
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -190,9 +190,17 @@
         is_crowded = len(self.clients) >= CROWDED_FRACTION * self._max_clients
         idle_timeout = CROWDED_IDLE_TIMEOUT if is_crowded else IDLE_TIMEOUT
         for connection in self.clients.items():
-            connection.enforce_timeouts(now, idle_timeout)
+            self._enforce_timeouts(connection, now, idle_timeout)
         self.deadlines.schedule(now + SWEEP_INTERVAL, self._sweep)
 
+    @staticmethod
+    def _enforce_timeouts(connection: ClientConnection, now: float, idle_timeout: float) -> None:
+        # No other connection would be checked any more if the error of one ended the sweep.
+        try:
+            connection.enforce_timeouts(now, idle_timeout)
+        except Exception as error:
+            connection.on_fault(error)
+
     def is_delivering(self, now: float) -> bool:
         """Return whether a response that has begun is still on its way, and bytes of it moved a short time ago."""
         return any(connection.is_delivering(now) for connection in self.clients.items())
@@ -225,6 +233,10 @@
 
     @staticmethod
     def _finish(connection: ClientConnection) -> None:
-        # Bytes that have arrived are read first, and a command in them is answered before the connection is closed.
-        if not connection.has_incomplete_command() and not has_unread_bytes(connection.transport):
-            connection.finish()
+        # Bytes that have arrived are read first, and a command in them is answered before the connection is closed. No
+        # other connection would be closed if the error of one ended the drain.
+        try:
+            if not connection.has_incomplete_command() and not has_unread_bytes(connection.transport):
+                connection.finish()
+        except Exception as error:
+            connection.on_fault(error)
--- a/thymeflow/frontend/input_scheduler.py
+++ b/thymeflow/frontend/input_scheduler.py
@@ -14,7 +14,10 @@
     """A connection with commands that wait."""
 
     def process_input(self) -> None:
-        """Execute some of the commands."""
+        """Execute some of the commands; do nothing if the connection has ended."""
+
+    def on_fault(self, error: Exception) -> None:
+        """Close the connection, of which an event could not be handled."""
 
 
 class InputScheduler:
@@ -39,8 +42,16 @@
         self._is_armed = False
         ends_at = clock.now() + MAX_TURN_SECONDS
         for _ in range(len(self._sources)):
-            self._sources.popleft().process_input()
+            self._process(self._sources.popleft())
             if clock.now() >= ends_at:
                 break
         if self._sources:
             self._arm()
+
+    @staticmethod
+    def _process(source: InputSource) -> None:
+        # The connections behind this one would wait for good if its error ended the turn.
+        try:
+            source.process_input()
+        except Exception as error:
+            source.on_fault(error)
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -39,6 +39,7 @@
         self._unacknowledged_bytes = 0  # as last counted by `_close_after_delivery`
         self._pending_bytes = 0  # bytes of responses that wait for earlier responses or for the client to read
         self._is_closing = False  # the connection is closed once every command is answered
+        self._is_lost = False  # the connection has ended, and its transport has no socket any more
         self._is_write_closed = False  # all responses are written and the write side is closed; input is discarded
         self._is_reset_due = False  # commands stay unread, so that the connection is reset once all is delivered
 
@@ -125,6 +126,8 @@
         return bool(self._slots) and self._slots[0].can_break_off()
 
     def _flush(self) -> None:
+        if self._is_lost:
+            return
         ready: list[bytes | bytearray] = []
         stream: ValueStream | None = None
         while self._slots and (slot := self._slots[0]).is_ready():
