--- a/tests/network_support.py
+++ b/tests/network_support.py
@@ -168,6 +168,34 @@
     return limiter, client
 
 
+class InMemoryBackends:
+    """The connections that a limiter opens to its backends in memory; all dials succeed."""
+
+    def __init__(self, network: InMemoryNetwork) -> None:
+        self._network = network
+        self._connections: list[Any] = []
+
+    def complete_dials(self) -> None:
+        """Let all dials that have begun succeed."""
+        while len(self._connections) < len(self._network.reactor.tcpClients):
+            self._connections.append(self._network.complete_dial(len(self._connections)))
+
+    def find(self, number: int) -> Any:
+        """Return the connection over which the request with that number was sent last."""
+        self.complete_dials()
+        for connection in reversed(self._connections):
+            if self.get_last_request(connection) == number:
+                return connection
+        message = f"no backend got request {number}"
+        raise AssertionError(message)
+
+    @staticmethod
+    def get_last_request(connection: Any) -> int:
+        """Return the number of the request that was last sent over a connection, or -1."""
+        commands, _ = resp.Parser().feed(connection.transport.value())
+        return int(commands[-1][2], 16) if commands and isinstance(commands[-1], list) else -1  # type: ignore[arg-type]
+
+
 def parse_command(text: bytes) -> list[bytes]:
     """Return the arguments of one encoded command."""
     (found,), _ = resp.Parser().feed(text)
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -322,8 +322,8 @@
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
         if self._slots and self._slots[0].is_awaiting_memory():
             self._flush()
-        if not self._pace.is_reading:
-            self._update_reading()
+        if not self._pace.is_reading or self._input.is_waiting:
+            self._update_reading()  # another connection may have released the memory that this one waits for
         self._check_body(now)
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -65,8 +65,10 @@
         self._memory.used_bytes += change
 
     def _recount_pending(self) -> None:
-        # All written bytes have gone to the kernel, so that only responses waiting for earlier responses count.
-        self._add_pending(sum(len(slot.response or b"") for slot in self._slots) - self._pending_bytes)
+        # If all written bytes have gone to the kernel, only responses that wait for earlier responses count.
+        if self._pending_bytes and self.flushed:
+            waiting_bytes = sum(len(slot.response or b"") for slot in self._slots if not slot.is_started)
+            self._add_pending(waiting_bytes - self._pending_bytes)
 
     def _reply(self, encoded: bytes, *, can_merge: bool = True) -> None:
         # Replies that follow each other share a slot, because a client may send very many commands that are answered at
@@ -145,10 +147,9 @@
         if ready:
             self._last_activity_at = clock.now()
             self.write(b"".join(ready))
-            if self.flushed:
-                self._recount_pending()
             if not self._slots:
                 self._idle_since = self._last_activity_at
+        self._recount_pending()
         if stream is not None:
             stream.attach(self)  # may write the whole value and call this method again through `end`
             if self._can_break_off():
