Answer waiting responses with an error when their memory is full, in place of closing

Callers saw: a client's connection was reset with all its open requests when more responses were pending than the memory for them holds. Cause: closing the connection with the most pending bytes was the only way to release memory, though most of them wait for earlier responses and were not begun. All ready responses went into the transport's buffer at once, where they can't be given up. Change: the newest waiting responses of the connection with the most become '-ERR failed' until the bound is kept. A connection is closed only if that is not enough. The pipeline writes no more than 64 KiB and one response ahead of its client's reading.

--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -63,7 +63,7 @@
         """Add `change` to the number of buffered bytes of incomplete commands."""
 
     def on_response_memory_exceeded(self) -> None:
-        """Disconnect a client, because too many bytes of responses are pending."""
+        """Release memory, because too many bytes of responses are pending."""
 
     def on_client_lost(self, connection: ClientConnection) -> None:
         """Handle a connection that has ended and has no open requests left."""
@@ -433,7 +433,7 @@
             slot.request_body = None
         if self._slots and self._slots[0] is slot:
             self._flush()
-        if self._memory.used_bytes > self._memory.max_bytes:
+        if self._memory.is_exceeded():
             self._owner.on_response_memory_exceeded()
 
     def is_connected(self) -> bool:
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -169,18 +169,29 @@
             self._evict(next((client for client in largest if not has_unread_bytes(client.transport)), largest[0]))
 
     def on_response_memory_exceeded(self) -> None:
-        """Disconnect the client with the most bytes of pending responses.
+        """Release memory of the clients with the most bytes of pending responses.
 
-        The process would be killed if it exceeded its memory limit. That client pipelines commands behind its own slow
-        request, or does not read its responses.
+        The process would be killed if it exceeded its memory limit. Those clients pipeline commands behind their own
+        slow requests, or do not read their responses. Responses that wait are replaced by errors; if that is not
+        enough, a client is disconnected.
         """
-        log.emit_rate_limited(
-            LogKind.BACKLOG,
-            f"a client's connection was closed: {self.response_memory.used_bytes} bytes of responses are pending",
-            held=self.response_memory.used_bytes,
-        )
-        if not self._evicting_count:  # the bytes of an evicted client are released a turn later
-            self._evict(max(self.clients.items(), key=ClientConnection.get_pending_bytes))
+        used_bytes = self.response_memory.used_bytes
+        clients = sorted(self.clients.items(), key=ClientConnection.get_pending_bytes, reverse=True)
+        failed_count = sum(client.fail_waiting_responses() for client in clients)
+        if failed_count:
+            log.emit_rate_limited(
+                LogKind.BACKLOG,
+                f"{failed_count} requests failed: {used_bytes} bytes of responses were pending",
+                held=used_bytes,
+            )
+        if self.response_memory.is_exceeded():
+            log.emit_rate_limited(
+                LogKind.BACKLOG,
+                f"a client's connection was closed: {used_bytes} bytes of responses are pending",
+                held=used_bytes,
+            )
+            if not self._evicting_count:  # the bytes of an evicted client are released a turn later
+                self._evict(clients[0])
 
     def _sweep(self, _: int) -> None:
         now = clock.now()
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -22,6 +22,7 @@
 # it waits for earlier responses does not count.
 MAX_BUFFERING_SECONDS = 1.8  # the protocol allows 2 s
 MAX_BUFFERING_FRACTION = 0.9
+MAX_WRITE_BYTES = 64 * 1024  # bytes after which no further response is added to one write
 
 
 class ResponsePipeline(WriteTrackingConnection):
@@ -130,25 +131,9 @@
     def _flush(self) -> None:
         if self._is_lost:
             return
-        ready: list[bytes | bytearray] = []
         stream: ValueStream | None = None
-        while self._slots and (slot := self._slots[0]).is_ready():
-            if slot.response_stream is not None and not slot.response_stream.can_complete():
-                self._fail_lost_response(slot, slot.response_stream)
-            if self._is_held_back(slot):
-                break
-            ready.append(slot.response or b"")
-            if slot.response_stream is not None:
-                slot.is_started = True
-                stream = slot.response_stream
-                self.shrink_buffers()
-                break
-            self._slots.popleft()
-        if ready:
-            self._last_activity_at = clock.now()
-            self.write(b"".join(ready))
-            if not self._slots:
-                self._idle_since = self._last_activity_at
+        while self.flushed and stream is None and self._is_head_ready():
+            stream = self._write_ready_responses()
         self._recount_pending()
         if stream is not None:
             stream.attach(self)  # may write the whole value and call this method again through `end`
@@ -159,6 +144,55 @@
         else:
             self._update_reading()
 
+    def _is_head_ready(self) -> bool:
+        # Returns whether the first response, or the head of a streamed one, is to be written now.
+        if not self._slots or not self._slots[0].is_ready():
+            return False
+        slot = self._slots[0]
+        if slot.response_stream is not None and not slot.response_stream.can_complete():
+            self._fail_lost_response(slot, slot.response_stream)
+        return not self._is_held_back(slot)
+
+    def _write_ready_responses(self) -> ValueStream | None:
+        # Writes responses that are ready, up to the head of the first streamed one, whose stream is returned. What one
+        # write doesn't take stays in the pipeline until the client has read more.
+        stream: ValueStream | None = None
+        ready: list[bytes | bytearray] = []
+        ready_bytes = 0
+        while stream is None and ready_bytes < MAX_WRITE_BYTES and self._is_head_ready():
+            slot = self._slots[0]
+            response = slot.response or b""
+            ready.append(response)
+            ready_bytes += len(response)
+            if slot.response_stream is None:
+                self._slots.popleft()
+            else:
+                slot.is_started = True
+                stream = slot.response_stream
+                self.shrink_buffers()
+        self._last_activity_at = clock.now()
+        self.write(b"".join(ready))
+        if not self._slots:
+            self._idle_since = self._last_activity_at
+        return stream
+
+    def fail_waiting_responses(self) -> int:
+        """Answer requests `-ERR failed` until the shared memory is within its bound, the newest responses first.
+
+        Return the number of these requests. Nothing was written of their responses, which wait for earlier ones or for
+        the client to read.
+        """
+        failed_count = 0
+        failure = encode_response(Response(ResponseKind.FAILED))
+        for slot in reversed(self._slots):
+            if not self._memory.is_exceeded():
+                break
+            if slot.can_be_replaced() and len(slot.response or b"") > len(failure):
+                self._add_pending(len(failure) - len(slot.response or b""))
+                slot.response = failure
+                failed_count += 1
+        return failed_count
+
     def _fail_lost_response(self, slot: PipelineSlot, stream: ValueStream) -> None:
         # Replaces a long response whose backend was lost while earlier responses were awaited. The client has no byte
         # of it, so that the connection can stay open for the responses to the commands after it.
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -63,6 +63,10 @@
         """Return whether the response, or the head of a streamed one, can be written and has not been written yet."""
         return self.response is not None and self.body is None and not self.is_started
 
+    def can_be_replaced(self) -> bool:
+        """Return whether the response to a request is known, is not streamed, and waits to be written."""
+        return self.request is not None and self.response is not None and self.response_stream is None
+
     def get_request_id(self) -> str:
         """Return the id of the request, for log lines; empty for a command without a request."""
         return "" if self.request is None else self.request.id
--- a/thymeflow/frontend/response_memory.py
+++ b/thymeflow/frontend/response_memory.py
@@ -20,6 +20,10 @@
         """Set the bound that applies to responses added from now on."""
         self.max_bytes = max_bytes
 
+    def is_exceeded(self) -> bool:
+        """Return whether more bytes of responses are pending than the bound permits."""
+        return self.used_bytes > self.max_bytes
+
     def has_capacity(self) -> bool:
         """Return whether a client that already has pending responses may cause more of them."""
         return self.used_bytes + self.reserved_bytes <= self.max_bytes // 2
