Serve requests on a draining connection until it is idle, and close it then

Cause: a drain marked busy connections as closing, after which all input was discarded, though the write side was shut only after the last response, up to seconds later. Change: a drain closes a connection when nothing on it is open, waiting, half read, unread or unwritten. Why it works: a request is dropped only after the client can see the close, and then it was not forwarded.

--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -216,11 +216,19 @@
         self._incomplete_bytes = 0 if self._input.is_waiting else self._input.count_bytes()
         self._owner.on_input_buffered(self._incomplete_bytes - incomplete_before)
         self._flush()
-        self._finish_if_draining()
 
-    def _finish_if_draining(self) -> None:
-        is_ending = self._owner.is_draining and (self._has_sent_request or self._owner.is_closing)
-        if is_ending and not self._input.is_incomplete():
+    def _on_idle(self) -> None:
+        if self._owner.is_draining and (self._has_sent_request or self._owner.is_closing):
+            self.finish_if_idle()
+
+    def finish_if_idle(self) -> None:
+        """Close the connection, unless a command is open, waits, or is on its way.
+
+        A command that arrives while another one is open is served too: the client sees the connection open, and could
+        not tell that a command which was read and dropped has not been executed.
+        """
+        is_idle = not self._slots and self.flushed and not self._is_executing and not self._input.is_incomplete()
+        if is_idle and not has_unread_bytes(self.transport):
             self.finish()
 
     def _on_event(self, event: resp.Event) -> None:
@@ -298,10 +306,6 @@
         """Return whether the client connected less than `DRAIN_GRACE` ago and has sent no command yet."""
         return not self._has_sent_command and now - self._idle_since < timeouts.DRAIN_GRACE
 
-    def has_incomplete_command(self) -> bool:
-        """Return whether commands wait to be executed, or one has begun and is incomplete."""
-        return self._input.is_incomplete()
-
     def get_input_backlog(self) -> tuple[bool, int]:
         """Return whether no command is open, and the number of buffered bytes of an incomplete command."""
         return not self._slots, self._incomplete_bytes
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -71,7 +71,7 @@
         self.clients: SlotTable[ClientConnection] = SlotTable(limits.max_clients)
         self._evicting_count = 0  # evicted connections that have not ended yet
         self.accepted_count = 0  # connections accepted since the start, including those closed at once
-        self.is_draining = False  # a connection is closed after its last response, or when it becomes idle
+        self.is_draining = False  # a connection is closed when it is idle
         self.is_closing = False  # the limiter is draining, and new connections are closed at once
         self.exit_deadline = inf  # time at which this process exits, even if a request could wait longer
         self._sweep(0)
@@ -227,7 +227,7 @@
         self.is_draining = False
 
     def drain(self) -> None:
-        """Disconnect the clients: idle connections now, and busy connections after their last response."""
+        """Disconnect the clients: idle connections now, and busy connections as soon as they are idle."""
         self.is_draining = True
         now = clock.now()
         for connection in self.clients.items():
@@ -244,10 +244,8 @@
 
     @staticmethod
     def _finish(connection: ClientConnection) -> None:
-        # Bytes that have arrived are read first, and a command in them is answered before the connection is closed. No
-        # other connection would be closed if the error of one ended the drain.
+        # No other connection would be closed if the error of one ended the drain.
         try:
-            if not connection.has_incomplete_command() and not has_unread_bytes(connection.transport):
-                connection.finish()
+            connection.finish_if_idle()
         except Exception as error:
             connection.on_fault(error)
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -48,6 +48,10 @@
         """Read from the client or pause reading, depending on the capacity of the pipeline."""
         raise NotImplementedError
 
+    def _on_idle(self) -> None:
+        """Handle the moment at which all responses have been written."""
+        raise NotImplementedError
+
     def _has_input(self) -> bool:
         """Return whether the client has sent bytes that are not executed yet, read or unread."""
         raise NotImplementedError
@@ -143,6 +147,8 @@
             self._close_write_side()
         else:
             self._update_reading()
+            if not self._slots and self.flushed and not self._is_closing:
+                self._on_idle()
 
     def _is_head_ready(self) -> bool:
         # Returns whether the first response, or the head of a streamed one, is to be written now.
