Fail a long request from before SIGTERM that keeps back later responses until SIGKILL

Callers would see: a request sent 1 s after SIGTERM behind an older one with a wait of 20 s is served by its backend, and its response is still held back when SIGKILL may come. Change: at that time a request that may wait longer fails, but only if responses behind it are due. Others keep their time.

--- a/tests/frontend/test_drains.py
+++ b/tests/frontend/test_drains.py
@@ -288,3 +288,30 @@
     backends.find(2).dataReceived(SERVED)
     assert client.transport.value() == 2 * resp.bulk(b"value")
     assert not client.transport.handle.is_half_closed
+
+
+def test_request_is_answered_before_sigkill_when_an_earlier_one_may_wait_longer(network: InMemoryNetwork) -> None:
+    # Guards against a response that is ready in time and waits, until SIGKILL, for a request from before SIGTERM.
+    limiter, client = make_limiter_with_client(network)
+    limiter.lifecycle.phase = Phase.SERVING
+    client.dataReceived(request(1, wait=20_000))
+    limiter.lifecycle.terminate()
+    network.reactor.pump([0.1] * 10)
+    client.dataReceived(request(2, wait=20_000))
+    backends = InMemoryBackends(network)
+    backends.find(2).dataReceived(SERVED)
+    network.reactor.pump([0.1] * int((TERMINATION_LINGER + MAX_AWAITED_DEADLINE - 1.0) / 0.1 - 1))
+    assert client.transport.value() == b"-ERR failed\r\n" + resp.bulk(b"value")
+    assert client.transport.handle.is_half_closed
+    assert limiter.dispatcher.open_count() == 0
+
+
+def test_request_from_before_sigterm_keeps_its_time_when_no_request_came_after_it(network: InMemoryNetwork) -> None:
+    # Guards against failing a request at the earliest SIGKILL, though nothing is lost by waiting for it.
+    limiter, client = make_limiter_with_client(network)
+    limiter.lifecycle.phase = Phase.SERVING
+    client.dataReceived(request(1, wait=20_000))
+    limiter.lifecycle.terminate()
+    network.reactor.pump([0.1] * int((TERMINATION_LINGER + MAX_AWAITED_DEADLINE) / 0.1))
+    InMemoryBackends(network).find(1).dataReceived(SERVED)
+    assert client.transport.value() == resp.bulk(b"value")
--- a/thymeflow/core/dispatcher.py
+++ b/thymeflow/core/dispatcher.py
@@ -297,5 +297,14 @@
                 f"request {pending.id} failed: no response from the gateway by its deadline",
                 request=pending.id,
             )
-            self.respond(pending, Response(ResponseKind.FAILED))
-            self.handle(events.ClientDisconnected(pending.id))
+            self._fail_and_cancel(pending)
+
+    def expire(self, request_id: str) -> None:
+        """Fail a request that is open, because its response can't be awaited any more."""
+        pending = self._requests.find(request_id)
+        if pending is not None and not pending.is_answered:
+            self._fail_and_cancel(pending)
+
+    def _fail_and_cancel(self, pending: PendingRequest) -> None:
+        self.respond(pending, Response(ResponseKind.FAILED))
+        self.handle(events.ClientDisconnected(pending.id))
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -272,6 +272,14 @@
             self._idle_since = self._last_activity_at
             body.finish()
 
+    def fail_requests_before_due_ones(self, now: float) -> None:
+        """Fail open requests that may wait longer, but keep back the response to one behind them that is due now."""
+        slots = list(self._slots)
+        due_indexes = [index for index, slot in enumerate(slots) if slot.deadline <= now]
+        for slot in slots[: max(due_indexes, default=0)]:
+            if slot.request is not None and slot.response is None and slot.deadline > now:
+                self._owner.dispatcher.expire(slot.request.id)
+
     def _record_unread_body(self, now: float) -> None:
         # Finds out whether the last byte of the incomplete body may have arrived, though it is not read yet.
         unread_bytes = self.count_received_bytes()
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -100,6 +100,11 @@
     def set_exit_deadline(self, deadline: float) -> None:
         """Limit the deadlines of requests to the time at which this process exits."""
         self.exit_deadline = deadline
+        self.deadlines.schedule(deadline, self._on_exit_deadline)
+
+    def _on_exit_deadline(self, _: int) -> None:
+        for connection in self.clients.items():
+            connection.fail_requests_before_due_ones(self.exit_deadline)
 
     def is_ready(self) -> bool:
         """Return whether PING is answered with PONG."""
