Count the first reply behind an open request as pending

Callers could see: nothing by itself; up to 64 KiB a command (a PING with a payload) waited in memory that no bound counted, if the command stood alone behind an open request. Found by random histories of connections in memory, which recount the bytes. Cause: a reply that began a slot was counted only with the next recount of pending bytes, and that was left out while nothing counted. Change: each reply is counted when it is added.

--- a/tests/frontend/test_response_memory.py
+++ b/tests/frontend/test_response_memory.py
@@ -20,6 +20,7 @@
 )
 from thymeflow.frontend.frontend import SWEEP_INTERVAL
 from thymeflow.limiter.assembly import Limiter
+from thymeflow.limiter.phases import Phase
 from thymeflow.transport import resp
 
 __all__ = ["network"]
@@ -75,6 +76,7 @@
     fill_memory(network, limiter, backends)
     client.dataReceived(command(b"ECHO") + request(2))
     assert client.transport.value().startswith(resp.bulk(VALUE) + b"-ERR unknown command")
+    network.reactor.pump([0.0])
     backends.find(2).dataReceived(SERVED)
     assert client.transport.value().endswith(SERVED_RESPONSE)
 
@@ -99,3 +101,16 @@
     for number in (3, 1):
         backends.find(number).dataReceived(SERVED)
     assert client.transport.value() == 3 * SERVED_RESPONSE
+
+
+@pytest.mark.parametrize("reply_count", [1, 2])
+def test_replies_behind_an_open_request_count_as_pending(network: InMemoryNetwork, reply_count: int) -> None:
+    # Guards against replies that take memory which nothing bounds.
+    limiter, client = make_limiter_with_client(network)
+    limiter.lifecycle.phase = Phase.SERVING
+    payload = b"p" * 1000
+    client.dataReceived(request(1) + reply_count * command(b"PING", payload))
+    assert client.get_pending_bytes() >= reply_count * len(payload)
+    assert limiter.frontend.response_memory.used_bytes == client.get_pending_bytes()
+    InMemoryBackends(network).find(1).dataReceived(SERVED)
+    assert client.get_pending_bytes() == 0
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -78,9 +78,8 @@
     def _reply(self, encoded: bytes, *, can_merge: bool = True) -> None:
         # Replies that follow each other share a slot, because a client may send very many commands that are answered at
         # once, behind a request that is not.
-        if can_merge and self._slots and self._slots[-1].try_append(encoded):
-            self._add_pending(len(encoded))
-        else:
+        self._add_pending(len(encoded))
+        if not (can_merge and self._slots and self._slots[-1].try_append(encoded)):
             self._slots.append(PipelineSlot(encoded))
 
     def _store_response(self, slot: PipelineSlot, response: Response) -> None:
