Cancel a request before its body when the client has left, so that nothing is counted late

Callers could see: nothing at first; the memory for responses lost 13 bytes each time a client left whose long body the backend did not read. Found by random histories of connections in memory. Cause: cancelling the body ended the attempt, and the gateway's error response was counted on a connection that had given up its commands. Where only the responses were cut off, requests that waited could also be forwarded before they were cancelled. Change: the request is cancelled first, then its body; no attempt begins for a connection whose commands are cancelled.

--- a/tests/frontend/test_response_memory.py
+++ b/tests/frontend/test_response_memory.py
@@ -114,3 +114,19 @@
     assert limiter.frontend.response_memory.used_bytes == client.get_pending_bytes()
     InMemoryBackends(network).find(1).dataReceived(SERVED)
     assert client.get_pending_bytes() == 0
+
+
+def test_no_bytes_are_counted_when_a_client_leaves_whose_body_its_backend_does_not_read(
+    network: InMemoryNetwork,
+) -> None:
+    # Guards against an error response that is counted for a client which has left, and never counted out.
+    limiter, client = make_limiter_with_client(network)
+    text = request(1, "book", body=VALUE)
+    first_bytes = len(VALUE) // 2
+    client.dataReceived(text[:first_bytes])
+    backend = network.complete_dial(-1)
+    backend.transport.handle.max_bytes = 0
+    client.dataReceived(text[first_bytes:])
+    client.connectionLost()
+    assert limiter.dispatcher.open_count() == 0
+    assert limiter.frontend.response_memory.used_bytes == 0
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -449,8 +449,8 @@
             self._owner.on_response_memory_exceeded()
 
     def is_connected(self) -> bool:
-        """Return whether the client is connected; its close is detected even if it has not been read."""
-        return not self.has_peer_closed()
+        """Return whether the client can get a response; its close is detected even if it has not been read."""
+        return not self._is_cancelled and not self.has_peer_closed()
 
     def connectionLost(self, reason: Failure = connectionDone) -> None:  # noqa: ARG002  # Twisted passes it
         """Cancel all open requests, because no response can reach the client any more."""
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -40,6 +40,7 @@
         self._unacknowledged_bytes = 0  # as last counted by `_close_after_delivery`
         self._pending_bytes = 0  # bytes of responses that wait for earlier responses or for the client to read
         self._is_closing = False  # the connection is closed once every command is answered
+        self._is_cancelled = False  # the commands were cancelled, because no response can be written any more
         self._is_lost = False  # the connection has ended, and its transport has no socket any more
         self._is_write_closed = False  # all responses are written and the write side is closed; input is discarded
         self._is_reset_due = False  # commands stay unread, so that the connection is reset once all is delivered
@@ -299,14 +300,15 @@
 
     def _cancel_slots(self) -> None:
         # Cancels all commands in the pipeline, because no response can be sent any more.
+        self._is_cancelled = True
         slots = self._slots
         self._slots = deque()
         self._add_pending(-self._pending_bytes)
         for slot in slots:
             self._end_buffering(slot)
-            if slot.request_body is not None:
-                slot.request_body.cancel()
             if slot.response_deferred is not None and slot.response is None:
                 slot.response_deferred.cancel()
             elif slot.response_stream is not None:
                 slot.response_stream.abandon()
+            if slot.request_body is not None:  # its end could bring a response that nobody would count out
+                slot.request_body.cancel()
