Give the buffering of long responses and the reading of requests modules of their own

Which event wakes what waits on a connection stood nowhere. Change: frontend/response_buffering.py and frontend/request_reading.py, moved without a change of behaviour; a response whose backend was lost is replaced before its stream is given up, so that no event in between finds it half done. docs/architecture.md has a table of what waits, for what, and what wakes it.

--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -12,7 +12,7 @@
 
 from tests.limiter import request
 from tests.network_support import InMemoryNetwork, make_limiter_with_client, make_served_reply, network
-from thymeflow.frontend.pipeline import MAX_BUFFERING_FRACTION, MAX_BUFFERING_SECONDS
+from thymeflow.frontend.response_buffering import MAX_BUFFERING_FRACTION, MAX_BUFFERING_SECONDS
 from thymeflow.transport import resp
 
 __all__ = ["network"]
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -14,7 +14,7 @@
 from twisted.python.failure import Failure
 
 from thymeflow.core.dispatcher import CAPACITY_RETRY_AFTER, RequestDispatcher
-from thymeflow.core.types import IncomingRequest, Response, ResponseKind
+from thymeflow.core.types import Response, ResponseKind
 from thymeflow.frontend import timeouts
 from thymeflow.frontend.body_receiver import BodyReceiver
 from thymeflow.frontend.command_input import MAX_READ_AHEAD_BYTES, CommandInput
@@ -24,6 +24,7 @@
 from thymeflow.frontend.pipeline import ResponsePipeline
 from thymeflow.frontend.pipeline_slot import PipelineSlot, encode_response
 from thymeflow.frontend.read_pace import BODY_READ_BYTES, COMMAND_READ_BYTES, ReadPace
+from thymeflow.frontend.request_reading import build_incoming_request, read_request
 from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
@@ -36,9 +37,7 @@
 MAX_PIPELINED_COMMANDS = 64  # the commands of a client with this many unanswered ones wait
 MAX_COMMANDS_PER_TURN = 32  # commands of one client that are executed in one turn of the reactor
 MAX_REJECTIONS_PER_TURN = 500  # the same for a client whose commands are rejected because it has sent too many
-REQUEST_OVERHEAD_BYTES = 2048  # bytes of memory that a request takes in addition to its text
 MAX_DISCARDED_BYTES = 256 * 1024  # bytes that are read and discarded after the write side of a connection is closed
-LATE_READ_SECONDS = 0.005  # a request that was unread for longer was delayed; an ordinary turn delays it for less
 LATE_RESPONSE_SECONDS = 0.05  # a response that comes so long after the deadline of its request is logged
 LONG_VALUE_EVENTS = (resp.LongValueChunk, resp.LongValueEnd, resp.LongValueArrayEnd)
 
@@ -400,33 +399,28 @@
             return
         dispatcher = self._owner.dispatcher
         try:
-            call, request = self._owner.reader.read(arguments)
+            call, request = read_request(self._owner.reader, dispatcher, arguments)
         except CallError as error:
             self._reject_command(str(error), can_merge=body is None)
             return
-        if dispatcher.is_open(request.id):
-            self._reject_command("that id is in hand", can_merge=body is None)
-            return
-        if request.is_write and dispatcher.may_have_executed(request.id):
-            self._reject_command("that id may have been executed", can_merge=body is None)
-            return
         slot = PipelineSlot(None, request, body)
         self._has_sent_request = True
         self._slots.append(slot)
-        if body is not None:
-            call = call._replace(body_stream=body)
-        size = REQUEST_OVERHEAD_BYTES + len(call.terms_before_wait) + len(call.terms_after_wait) + len(call.body or b"")
         exit_deadline = self._owner.exit_deadline
         deadline = min(self._arrived_at + request.remaining, exit_deadline) if body is None else inf
-        # A command that waited for earlier ones may be past its deadline; the response to it is not late for that.
         now = clock.now()
+        # A command that waited for earlier ones may be past its deadline; the response to it is not late for that.
         slot.deadline = max(deadline, now)
-        is_late = now - self._arrived_at > LATE_READ_SECONDS
-        if body is None and (is_late or deadline == exit_deadline):
-            # The request's time began when it arrived at this machine. The gateway gets the time that remains after a
-            # stall or behind earlier commands, and no more than remains until a process that is shutting down exits.
-            request = request._replace(remaining=deadline - now)
-        slot.response_deferred = dispatcher.submit(IncomingRequest(request, deadline, call, size, self.is_connected))
+        incoming = build_incoming_request(
+            call if body is None else call._replace(body_stream=body),
+            request,
+            arrived_at=self._arrived_at,
+            now=now,
+            deadline=deadline,
+            exit_deadline=exit_deadline,
+            is_connected=self.is_connected,
+        )
+        slot.response_deferred = dispatcher.submit(incoming)
         slot.response_deferred.addCallbacks(self._on_response, lambda _: None, callbackArgs=(slot,))
 
     def _on_response(self, response: Response, slot: PipelineSlot, /) -> None:
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -5,23 +5,17 @@
 import contextlib
 import socket
 from collections import deque
-from math import inf
 
 from thymeflow.core.types import Response, ResponseKind
 from thymeflow.frontend import timeouts
 from thymeflow.frontend.pipeline_slot import PipelineSlot, encode_response
+from thymeflow.frontend.response_buffering import ResponseBuffering
 from thymeflow.frontend.response_memory import ResponseMemory
 from thymeflow.runtime import clock, log
 from thymeflow.runtime.log_kinds import LogKind
 from thymeflow.transport.connections import WriteTrackingConnection
 from thymeflow.transport.value_stream import ValueStream
 
-# A long response with commands behind it is received completely before its first byte is written, because one that
-# breaks off later takes the responses behind it along. It is held back for no more than this number of seconds, and no
-# more than this fraction of the time that the client still waited when the response began to arrive. The time in which
-# it waits for earlier responses does not count.
-MAX_BUFFERING_SECONDS = 1.8  # the protocol allows 2 s
-MAX_BUFFERING_FRACTION = 0.9
 MAX_WRITE_BYTES = 64 * 1024  # bytes after which no further response is added to one write
 
 
@@ -33,7 +27,7 @@
 
     def __init__(self, memory: ResponseMemory, deadlines: clock.Deadlines) -> None:
         self._memory = memory
-        self._deadlines = deadlines
+        self._buffering = ResponseBuffering(memory, deadlines)
         self._slots: deque[PipelineSlot] = deque()
         self._last_activity_at = 0.0  # time at which bytes were last received, written or taken by the client's machine
         self._idle_since = 0.0  # time of the last command or last response
@@ -89,45 +83,12 @@
         slot.response_received_at = clock.now()
         self._add_pending(len(slot.response))
         if response.stream is not None and len(self._slots) > 1:
-            self._try_buffering(slot, response.stream)
-
-    def _try_buffering(self, slot: PipelineSlot, stream: ValueStream) -> None:
-        # Buffers a streamed response completely if there is memory for it.
-        if not slot.reserved_bytes and self._memory.reserve(stream.length):
-            slot.reserved_bytes = stream.length
-            stream.prefetch(self._flush)
-
-    def _end_buffering(self, slot: PipelineSlot) -> None:
-        self._deadlines.cancel(slot.buffering_timer)
-        self._memory.release(slot.reserved_bytes)
-        slot.reserved_bytes = 0
+            self._buffering.begin(slot, response.stream, self._flush)
 
     def _has_commands_behind(self) -> bool:
         # Returns whether the client has sent commands behind the first open one.
         return len(self._slots) > 1 or self._has_input()
 
-    def _is_held_back(self, slot: PipelineSlot) -> bool:
-        # Returns whether the streamed response, whose turn has come, waits for its last byte or for memory to be
-        # buffered in. It begins at once if no command is behind it, or if it can't be buffered however long it waits.
-        stream = slot.response_stream
-        if stream is None or stream.has_arrived() or not self._has_commands_behind():
-            return False
-        if not self._memory.can_ever_reserve(stream.length):
-            return False
-        now = clock.now()
-        if slot.buffering_deadline == inf:
-            seconds_left = slot.deadline - slot.response_received_at
-            slot.buffering_deadline = now + min(MAX_BUFFERING_SECONDS, MAX_BUFFERING_FRACTION * seconds_left)
-            slot.buffering_timer = self._deadlines.schedule(
-                slot.buffering_deadline, lambda _: self._on_buffering_over(slot)
-            )
-        self._try_buffering(slot, stream)
-        return now < slot.buffering_deadline and not stream.has_arrived()
-
-    def _on_buffering_over(self, slot: PipelineSlot) -> None:
-        if self._slots and self._slots[0] is slot:
-            self._flush()
-
     def _can_break_off(self) -> bool:
         # Returns whether a response is on its way whose end would close the connection if its backend was lost.
         return bool(self._slots) and self._slots[0].can_break_off()
@@ -155,9 +116,12 @@
         if not self._slots or not self._slots[0].is_ready():
             return False
         slot = self._slots[0]
-        if slot.response_stream is not None and not slot.response_stream.can_complete():
+        if slot.response_stream is None:
+            return True
+        if not slot.response_stream.can_complete():
             self._fail_lost_response(slot, slot.response_stream)
-        return not self._is_held_back(slot)
+            return True
+        return not (self._has_commands_behind() and self._buffering.is_held_back(slot, self._flush))
 
     def _write_ready_responses(self) -> ValueStream | None:
         # Writes responses that are ready, up to the head of the first streamed one, whose stream is returned. What one
@@ -205,12 +169,12 @@
         log.emit_rate_limited(
             LogKind.CUT_SHORT, "a long response failed: its backend was lost before a byte of it was written"
         )
-        stream.abandon()
         failure = encode_response(Response(ResponseKind.FAILED))
         self._add_pending(len(failure) - len(slot.response or b""))
         slot.response = failure
         slot.response_stream = None
-        self._end_buffering(slot)
+        self._buffering.end(slot)
+        stream.abandon()
 
     # The methods of `value_stream.Sink`, for the streamed response that is being written.
 
@@ -222,7 +186,7 @@
     def end(self) -> None:
         """Terminate the complete value, and continue with the next response."""
         self.write(b"\r\n")
-        self._end_buffering(self._slots.popleft())
+        self._buffering.end(self._slots.popleft())
         self._idle_since = clock.now()
         self._flush()
 
@@ -305,7 +269,7 @@
         self._slots = deque()
         self._add_pending(-self._pending_bytes)
         for slot in slots:
-            self._end_buffering(slot)
+            self._buffering.end(slot)
             if slot.response_deferred is not None and slot.response is None:
                 slot.response_deferred.cancel()
             elif slot.response_stream is not None:
