Leave commands unread while a long response is held back, as while it is on its way

Callers could see: commands that came while a long response was held back were read and executed, and lost if the response had to begin incomplete and broke off afterwards. Cause: reading was paused only from the first byte of the response on, though the same end may follow when it is held back. Change: both states count as a response that can break off. Commands behind it that were sent with it are executed as before.

--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -282,3 +282,18 @@
     client.dataReceived(request(2)[20:])
     backend.dataReceived(SERVED)
     assert client.transport.value() == resp.bulk(VALUE) + SERVED_RESPONSE
+
+
+def test_commands_stay_unread_while_a_long_response_is_held_back(network: InMemoryNetwork) -> None:
+    # Guards against reading commands that are lost if the response before them begins incomplete and breaks off.
+    _, client = make_limiter_with_client(network)
+    client.dataReceived(request(1, wait=2000) + request(2, wait=2000))
+    first, second = [network.complete_dial(number) for number in (-2, -1)]
+    second.dataReceived(SERVED)
+    first.dataReceived(LONG_REPLY[:RECEIVED_BYTES])
+    assert client.transport.producerState == "paused"
+    first.connectionLost()
+    assert client.transport.producerState == "producing"
+    client.dataReceived(request(3))
+    second.dataReceived(SERVED)
+    assert client.transport.value() == FAILED_RESPONSE + SERVED_RESPONSE + SERVED_RESPONSE
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -90,7 +90,7 @@
         return len(self._slots) > 1 or self._has_input()
 
     def _can_break_off(self) -> bool:
-        # Returns whether a response is on its way whose end would close the connection if its backend was lost.
+        # Returns whether a response is on its way, or will be, whose early end would close the connection.
         return bool(self._slots) and self._slots[0].can_break_off()
 
     def _flush(self) -> None:
--- a/thymeflow/frontend/pipeline_slot.py
+++ b/thymeflow/frontend/pipeline_slot.py
@@ -76,8 +76,10 @@
         return self.buffering_deadline < inf and not self.is_started and not self.reserved_bytes
 
     def can_break_off(self) -> bool:
-        """Return whether a streamed response has begun, and its backend has not sent all of it."""
-        return self.is_started and self.response_stream is not None and not self.response_stream.has_arrived()
+        """Return whether a streamed response has begun or is held back, and its backend has not sent all of it."""
+        if self.response_stream is None or self.response_stream.has_arrived():
+            return False
+        return self.is_started or self.buffering_deadline < inf
 
 
 def encode_response(response: Response) -> bytes:
