Read no more commands from the process's exit deadline on, and close what is answered

Callers would see: a client that never stops sending keeps its connection open until SIGKILL, which finds its last requests unanswered. Cause: a connection with unread bytes is never idle, and commands that wait behind 64 open ones are executed 32 at a time. Change: at the deadline reading stops, waiting requests are rejected 500 at a time, and an answered connection is half-closed. What is unread stays unread.

--- a/tests/frontend/test_drains.py
+++ b/tests/frontend/test_drains.py
@@ -315,3 +315,21 @@
     network.reactor.pump([0.1] * int((TERMINATION_LINGER + MAX_AWAITED_DEADLINE) / 0.1))
     InMemoryBackends(network).find(1).dataReceived(SERVED)
     assert client.transport.value() == resp.bulk(b"value")
+
+
+def test_client_that_never_stops_sending_is_disconnected_before_sigkill(network: InMemoryNetwork) -> None:
+    # Guards against commands that are read until SIGKILL, so that the last ones are never answered.
+    _, client, backends = begin_drain(network, "SIGTERM")
+    client.transport.handle.unread = request(0)  # there is always more to read
+    backends.find(1).dataReceived(SERVED)
+    sent_count = 1
+    while not client.transport.handle.is_half_closed:
+        if client.transport.producerState == "producing":
+            sent_count += 1
+            client.dataReceived(request(sent_count))
+        network.reactor.pump([0.02] * 5)
+        backends.complete_dials()
+        assert network.reactor.seconds() < TERMINATION_LINGER + MAX_AWAITED_DEADLINE
+    replies, _ = resp.Parser().feed(client.transport.value())
+    assert len(replies) == sent_count
+    assert client.transport.producerState == "paused"  # later commands stay unread, and are not dropped
--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -13,6 +13,7 @@
 from tests.limiter import request
 from tests.network_support import InMemoryNetwork, make_limiter_with_client, make_served_reply, network
 from thymeflow.frontend.response_buffering import MAX_BUFFERING_FRACTION, MAX_BUFFERING_SECONDS
+from thymeflow.frontend.timeouts import RESET_GRACE
 from thymeflow.transport import resp
 
 __all__ = ["network"]
@@ -264,6 +265,8 @@
     assert not client.aborted  # bytes of responses are still on their way
     client.transport.handle.unacknowledged_bytes = 0
     network.reactor.pump([0.1] * 2)
+    assert not client.aborted  # the client's network library may discard what the client has not processed
+    network.reactor.pump([0.1] * int(RESET_GRACE / 0.1 + 2))
     assert client.aborted
     assert not client.transport.handle.is_half_closed
     assert client.transport.handle.unread == request(2)
--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -53,6 +53,7 @@
     reader: CallReader
     is_draining: bool
     is_closing: bool
+    is_exiting: bool
     exit_deadline: float
 
     def on_client_connected(self, connection: ClientConnection) -> int:
@@ -102,10 +103,12 @@
         if self._body.slot is not None:  # the body is read even if no further command is accepted
             should_read = not self._body.is_blocked
         elif self._is_write_closed:
-            should_read = self._discarded_bytes < MAX_DISCARDED_BYTES and not self._is_reset_due
+            is_left_unread = self._is_reset_due or self._owner.is_exiting
+            should_read = self._discarded_bytes < MAX_DISCARDED_BYTES and not is_left_unread
         else:
             has_capacity = self._input.has_capacity()
-            should_read = not self._is_closing and has_capacity and not self._can_break_off()
+            is_accepting = not self._is_closing and not self._owner.is_exiting
+            should_read = is_accepting and has_capacity and not self._can_break_off()
             self._pace.is_overrun = self._pace.is_overrun or not (has_capacity or self._is_closing)
         now = clock.now()
         if self._pace.set_reading(should_read, now):
@@ -146,7 +149,7 @@
         # Reads all that waits unread behind commands that wait, so that a close behind it is found at once. The reactor
         # reads the end of the connection.
         self._input.update_memory()
-        if self._body.slot is not None or self._can_break_off():
+        if self._body.slot is not None or self._can_break_off() or self._owner.is_exiting:
             return
         while self._input.is_waiting and self._input.has_capacity():
             try:
@@ -178,7 +181,11 @@
             return False
         if not self.flushed or self._is_closing or (self._pending_bytes and not self._memory.has_capacity()):
             return False
-        return self._pace.is_overrun or len(self._slots) < MAX_PIPELINED_COMMANDS
+        return self._is_rejecting() or len(self._slots) < MAX_PIPELINED_COMMANDS
+
+    def _is_rejecting(self) -> bool:
+        # Returns whether requests are rejected unread, because too many wait or the process is about to exit.
+        return self._pace.is_overrun or self._owner.is_exiting
 
     def _schedule_input(self) -> None:
         if self._input.is_waiting and not self._is_scheduled and not self._is_executing and self._can_execute():
@@ -199,7 +206,7 @@
     def _execute_waiting(self) -> None:
         incomplete_before = self._incomplete_bytes
         self._is_executing = True
-        for _ in range(MAX_REJECTIONS_PER_TURN if self._pace.is_overrun else MAX_COMMANDS_PER_TURN):
+        for _ in range(MAX_REJECTIONS_PER_TURN if self._is_rejecting() else MAX_COMMANDS_PER_TURN):
             if not self._input.is_waiting or not self._can_execute():
                 break
             events = self._input.take_events()
@@ -226,10 +233,21 @@
         A command that arrives while another one is open is served too: the client sees the connection open, and could
         not tell that a command which was read and dropped has not been executed.
         """
-        is_idle = not self._slots and self.flushed and not self._is_executing and not self._input.is_incomplete()
-        if is_idle and not has_unread_bytes(self.transport):
+        is_idle = not self._slots and self.flushed and not self._is_executing and not self._is_closing
+        if not is_idle:
+            return
+        if self._owner.is_exiting:  # the client may go on sending; what it sends stays unread
+            is_all_answered = not self._input.is_waiting
+        else:
+            is_all_answered = not self._input.is_incomplete() and not has_unread_bytes(self.transport)
+        if is_all_answered:
             self.finish()
 
+    def stop_reading_commands(self) -> None:
+        """Read no more commands, because the process exits; close the connection once those that were read are over."""
+        self._update_reading()
+        self.finish_if_idle()
+
     def _on_event(self, event: resp.Event) -> None:
         if isinstance(event, LONG_VALUE_EVENTS):
             self._on_long_value_event(event)
@@ -331,10 +349,7 @@
 
     def enforce_timeouts(self, now: float, idle_timeout: float) -> None:
         """Disconnect a client that sends nothing, never completes a command, or does not read its responses."""
-        if self._slots and self._slots[0].is_awaiting_memory():
-            self._flush()
-        if not self._pace.is_reading or self._input.is_waiting:
-            self._update_reading()  # another connection may have released the memory that this one waits for
+        self._wake()
         self._check_body(now)
         idle = self.compute_idle_seconds(now)
         if self._owner.is_draining and idle > timeouts.DRAIN_GRACE:
@@ -359,6 +374,15 @@
         ) and not has_unread_bytes(self.transport):
             self.finish()
 
+    def _wake(self) -> None:
+        # Continues what waits, because another connection may have released the memory that it waits for.
+        if self._slots and self._slots[0].is_awaiting_memory():
+            self._flush()
+        if not self._pace.is_reading or self._input.is_waiting:
+            self._update_reading()
+        if self._owner.is_exiting:
+            self.finish_if_idle()
+
     def _check_body(self, now: float) -> None:
         # Ends the attempt of a request whose time is over, or may be over because its client is not read from.
         slot = self._body.slot
@@ -386,16 +410,18 @@
         log.emit_rate_limited(LogKind.CLIENT_COMMAND_INVALID, f"command answered with an error: {reason}")
         self._reply(resp.error_reply(f"ERR {reason}"), can_merge=can_merge)
 
-    def _reject_for_overrun(self, *, can_merge: bool) -> None:
-        log.emit_rate_limited(
-            LogKind.BACKLOG, f"a request was rejected: more than {MAX_READ_AHEAD_BYTES} bytes wait on its connection"
-        )
+    def _reject_request(self, *, can_merge: bool) -> None:
+        if self._pace.is_overrun:
+            log.emit_rate_limited(
+                LogKind.BACKLOG,
+                f"a request was rejected: more than {MAX_READ_AHEAD_BYTES} bytes wait on its connection",
+            )
         rejection = encode_response(Response(ResponseKind.REJECTED, retry_after=CAPACITY_RETRY_AFTER))
         self._reply(rejection, can_merge=can_merge)
 
     def _submit_request(self, arguments: list[bytes], body: ValueStream | None = None) -> None:
-        if self._pace.is_overrun:
-            self._reject_for_overrun(can_merge=body is None)
+        if self._is_rejecting():
+            self._reject_request(can_merge=body is None)
             return
         dispatcher = self._owner.dispatcher
         try:
--- a/thymeflow/frontend/frontend.py
+++ b/thymeflow/frontend/frontend.py
@@ -73,6 +73,7 @@
         self.accepted_count = 0  # connections accepted since the start, including those closed at once
         self.is_draining = False  # a connection is closed when it is idle
         self.is_closing = False  # the limiter is draining, and new connections are closed at once
+        self.is_exiting = False  # the exit deadline has passed, and no more commands are read
         self.exit_deadline = inf  # time at which this process exits, even if a request could wait longer
         self._sweep(0)
 
@@ -103,8 +104,10 @@
         self.deadlines.schedule(deadline, self._on_exit_deadline)
 
     def _on_exit_deadline(self, _: int) -> None:
+        self.is_exiting = True
         for connection in self.clients.items():
             connection.fail_requests_before_due_ones(self.exit_deadline)
+            connection.stop_reading_commands()
 
     def is_ready(self) -> bool:
         """Return whether PING is answered with PONG."""
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -249,7 +249,8 @@
                 )
                 self.transport.abortConnection()
         elif self._is_reset_due:
-            self.transport.abortConnection()
+            if now - max(self._last_activity_at, self._idle_since) > timeouts.RESET_GRACE:
+                self.transport.abortConnection()
         elif now - max(self._last_activity_at, self._idle_since) > timeouts.LINGER_TIMEOUT:
             # Not aborted, because a reset can discard bytes that have arrived and that the client has not read.
             self.transport.unregisterProducer()
--- a/thymeflow/frontend/timeouts.py
+++ b/thymeflow/frontend/timeouts.py
@@ -19,5 +19,8 @@
 DRAIN_GRACE = 0.25
 # The time in which a client that has all responses can close its side, after the write side of a connection is closed.
 LINGER_TIMEOUT = 1.0
+# The time in which a client that has all responses can process them, before a reset shows it that commands were not
+# read. Its network library may discard what it has received when it learns of the reset.
+RESET_GRACE = 0.25
 # The idle timeout without an open command, for a client that has sent a request and would have to connect again.
 IDLE_TIMEOUT = 4.0
