Hold back a long response for up to 1.9 s, within its client's time, and say so

The response's timer is exact, so that less room is needed. Change: 1.9 s and 95%; the cases of the test moved closer to the bounds.

--- a/tests/frontend/test_long_responses.py
+++ b/tests/frontend/test_long_responses.py
@@ -152,7 +152,7 @@
     backend.connectionLost()
 
 
-@pytest.mark.parametrize(("wait_ms", "seconds"), [(500, 0.4), (2000, 0.8), (2000, 1.7), (7500, 1.7)])
+@pytest.mark.parametrize(("wait_ms", "seconds"), [(500, 0.45), (2000, 0.8), (2000, 1.8), (7500, 1.85)])
 def test_next_command_is_answered_when_a_long_response_breaks_off_within_the_allowed_time(
     network: InMemoryNetwork, wait_ms: int, seconds: float
 ) -> None:
--- a/thymeflow/frontend/response_buffering.py
+++ b/thymeflow/frontend/response_buffering.py
@@ -16,8 +16,8 @@
 
 # A response is held back for no more than this number of seconds, and no more than this fraction of the time that the
 # client still waited when the response began to arrive. Its wait for earlier responses does not count.
-MAX_BUFFERING_SECONDS = 1.8  # the protocol allows 2 s
-MAX_BUFFERING_FRACTION = 0.9
+MAX_BUFFERING_SECONDS = 1.9  # the protocol allows 2 s
+MAX_BUFFERING_FRACTION = 0.95
 
 
 class ResponseBuffering:
