Write a ready response with fewer calls

Change: an empty pipeline, pending bytes of none and short responses are told without a call; no behaviour changes.

--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -149,7 +149,9 @@
         # Reads all that waits unread behind commands that wait, so that a close behind it is found at once. The reactor
         # reads the end of the connection.
         self._input.update_memory()
-        if self._body.slot is not None or self._can_break_off() or self._owner.is_exiting:
+        if not self._input.is_waiting or self._body.slot is not None:
+            return
+        if self._can_break_off() or self._owner.is_exiting:
             return
         while self._input.is_waiting and self._input.has_capacity():
             try:
--- a/thymeflow/frontend/pipeline.py
+++ b/thymeflow/frontend/pipeline.py
@@ -66,7 +66,7 @@
 
     def _recount_pending(self) -> None:
         # If all written bytes have gone to the kernel, only responses that wait for earlier responses count.
-        if self._pending_bytes and self.flushed:
+        if self.flushed:
             waiting_bytes = sum(len(slot.response or b"") for slot in self._slots if not slot.is_started)
             self._add_pending(waiting_bytes - self._pending_bytes)
 
@@ -91,15 +91,17 @@
 
     def _can_break_off(self) -> bool:
         # Returns whether a response is on its way, or will be, whose early end would close the connection.
-        return bool(self._slots) and self._slots[0].can_break_off()
+        slots = self._slots
+        return bool(slots) and slots[0].response_stream is not None and slots[0].can_break_off()
 
     def _flush(self) -> None:
         if self._is_lost:
             return
         stream: ValueStream | None = None
-        while self.flushed and stream is None and self._is_head_ready():
+        while self._slots and self.flushed and stream is None and self._is_head_ready():
             stream = self._write_ready_responses()
-        self._recount_pending()
+        if self._pending_bytes:
+            self._recount_pending()
         if stream is not None:
             stream.attach(self)  # may write the whole value and call this method again through `end`
             if self._can_break_off():
@@ -112,10 +114,10 @@
                 self._on_idle()
 
     def _is_head_ready(self) -> bool:
-        # Returns whether the first response, or the head of a streamed one, is to be written now.
-        if not self._slots or not self._slots[0].is_ready():
-            return False
+        # Returns whether the response of the first slot, or the head of a streamed one, is to be written now.
         slot = self._slots[0]
+        if not slot.is_ready():
+            return False
         if slot.response_stream is None:
             return True
         if not slot.response_stream.can_complete():
@@ -124,22 +126,24 @@
         return not (self._has_commands_behind() and self._buffering.is_held_back(slot, self._flush))
 
     def _write_ready_responses(self) -> ValueStream | None:
-        # Writes responses that are ready, up to the head of the first streamed one, whose stream is returned. What one
-        # write doesn't take stays in the pipeline until the client has read more.
-        stream: ValueStream | None = None
+        # Writes the first response, which is ready, and others behind it up to the head of a streamed one, whose stream
+        # is returned. What one write doesn't take stays in the pipeline until the client has read more.
+        slots = self._slots
         ready: list[bytes | bytearray] = []
         ready_bytes = 0
-        while stream is None and ready_bytes < MAX_WRITE_BYTES and self._is_head_ready():
-            slot = self._slots[0]
+        while True:
+            slot = slots[0]
             response = slot.response or b""
             ready.append(response)
             ready_bytes += len(response)
-            if slot.response_stream is None:
-                self._slots.popleft()
-            else:
+            stream = slot.response_stream
+            if stream is not None:
                 slot.is_started = True
-                stream = slot.response_stream
                 self.shrink_buffers()
+                break
+            slots.popleft()
+            if not slots or ready_bytes >= MAX_WRITE_BYTES or not self._is_head_ready():
+                break
         self._last_activity_at = clock.now()
         self.write(b"".join(ready))
         if not self._slots:
