--- a/thymeflow/frontend/client_connection.py
+++ b/thymeflow/frontend/client_connection.py
@@ -292,7 +292,7 @@
             body.finish()
 
     def fail_requests_before_due_ones(self, now: float) -> None:
-        """Fail open requests that may wait longer, but keep back the response to one behind them that is due now."""
+        """Fail open requests that may wait longer and keep back the response to one behind them, which is due now."""
         slots = list(self._slots)
         due_indexes = [index for index, slot in enumerate(slots) if slot.deadline <= now]
         for slot in slots[: max(due_indexes, default=0)]:
